--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: setup test lint format generate demo measure clean
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+test: setup
+	$(BIN)/python -m tests
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+# Generated code is committed; run this after a change in schema/.
+generate: setup
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -Ischema --python_out=. \
+		--grpclib_python_out=. schema/flamingostack/generated/messages.proto
+	$(BIN)/python schema/generate_settings.py
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+measure: setup
+	$(BIN)/python -m bench $(MEASURE_ARGS)
+
+clean:
+	rm -rf $(VENV) build *.egg-info out
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/flamingostack/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier between callers and back ends of many shards."""
--- /dev/null
+++ b/flamingostack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line."""
--- /dev/null
+++ b/flamingostack/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process."""
--- /dev/null
+++ b/flamingostack/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The process that owns targets."""
--- /dev/null
+++ b/flamingostack/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that serves callers."""
--- /dev/null
+++ b/flamingostack/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet state and its rules, without I/O."""
--- /dev/null
+++ b/flamingostack/status.py
@@ -0,0 +1,18 @@
+"""Exit statuses of the binaries; stable, documented in docs/operators.md."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """Exit statuses."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+    INVALID_INPUT = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    NOT_YET_ACCEPTED = 6
+    NOT_FOUND = 7
+    OUTCOME_UNKNOWN = 8
+    INTERRUPTED = 130
--- /dev/null
+++ b/flamingostack/strict.py
@@ -0,0 +1,7 @@
+"""Base of the generated settings classes."""
+
+import msgspec
+
+
+class StrictStruct(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A struct that refuses unknown keys, so that a misspelt setting is an error."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the tier; never part of the package."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out like the package."""
--- /dev/null
+++ b/tests/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the promises, with real processes."""
