--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,141 @@
+"""Tests of standins.platform: a store that breaks its own rules would hide faults of the tier."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from standins.platform import MAX_VALUE_BYTES, Platform
+
+
+class DisconnectedError(Exception):
+    """The connection ended without an answer."""
+
+
+async def never_resend(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Turn a disconnect into an error that aiohttp does not answer by sending PUT again."""
+    try:
+        return await handler(request)
+    except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError) as error:
+        raise DisconnectedError from error
+
+
+class PlatformTest(unittest.IsolatedAsyncioTestCase):
+    """A platform on a free port with a session."""
+
+    async def asyncSetUp(self):
+        self.platform = Platform(host="127.0.0.1", port=0, instances_lag_ms=80)
+        await self.platform.start()
+        self.url = f"http://127.0.0.1:{self.platform.port}/v1"
+        self.session = aiohttp.ClientSession(middlewares=[never_resend])
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.platform.stop()
+
+    async def put(self, key: str, value: bytes, **headers: str) -> tuple[int, int]:
+        names = {name.replace("_", "-"): text for name, text in headers.items()}
+        url = f"{self.url}/objects/{key}"
+        async with self.session.put(url, data=value, headers=names) as answer:
+            return answer.status, int(answer.headers.get("Object-Version", "-1"))
+
+    async def changes(self, **query: str) -> dict:
+        async with self.session.get(f"{self.url}/changes", params=query) as answer:
+            return await answer.json()
+
+    async def test_conditions_decide_writes(self):
+        """Guards against a lost update: a write on an old version must not take effect."""
+        status, version = await self.put("a/b", b"1", If_None_Match="*")
+        self.assertEqual(status, 200)
+        self.assertEqual(await self.put("a/b", b"2", If_None_Match="*"), (412, version))
+        status, newer = await self.put("a/b", b"2", If_Match=str(version))
+        self.assertEqual((status, newer > version), (200, True))
+        self.assertEqual(await self.put("a/b", b"3", If_Match=str(version)), (412, newer))
+        self.assertEqual((await self.put("a/c", b"3", If_Match="7"))[0], 412)
+        self.assertEqual((await self.put("a/c", b"3"))[0], 428)
+        async with self.session.get(f"{self.url}/objects/a/b") as answer:
+            self.assertEqual(await answer.read(), b"2")
+            self.assertEqual(answer.headers["Object-Version"], str(newer))
+
+    async def test_deleted_object_can_be_created_again(self):
+        """Guards against a tombstone that counts as an existing object."""
+        _, version = await self.put("k", b"1", If_None_Match="*")
+        url = f"{self.url}/objects/k"
+        headers = {"If-Match": str(version)}
+        async with self.session.delete(url, headers=headers) as answer:
+            self.assertEqual(answer.status, 200)
+        async with self.session.get(url) as answer:
+            self.assertEqual(answer.status, 404)
+        listed = await self.changes(since="0")
+        self.assertEqual([item["value"] for item in listed["objects"]], [None])
+        self.assertEqual((await self.put("k", b"2", If_None_Match="*"))[0], 200)
+
+    async def test_size_limit(self):
+        """Guards against a document that would not fit the real store."""
+        self.assertEqual((await self.put("k", b"x" * MAX_VALUE_BYTES, If_None_Match="*"))[0], 200)
+        status, _ = await self.put("l", b"x" * (MAX_VALUE_BYTES + 1), If_None_Match="*")
+        self.assertEqual(status, 413)
+
+    async def test_watch_wakes_for_its_prefix_only(self):
+        """Guards against watches that miss a change or return for keys of others."""
+        watch = asyncio.create_task(self.changes(since="0", wait_ms="3000", prefix="a/"))
+        await asyncio.sleep(0.05)
+        await self.put("b/1", b"1", If_None_Match="*")
+        await asyncio.sleep(0.05)
+        self.assertFalse(watch.done())
+        await self.put("a/1", b"1", If_None_Match="*")
+        answer = await asyncio.wait_for(watch, 1)
+        self.assertEqual([item["key"] for item in answer["objects"]], ["a/1"])
+        self.assertEqual(answer["revision"], 2)
+        nothing = await self.changes(since="2", wait_ms="30", prefix="a/")
+        self.assertEqual(nothing, {"revision": 2, "objects": []})
+
+    async def test_rate_refuses_and_counts(self):
+        """Guards against a platform that lets a chatty client pass."""
+        self.platform.writes.per_s = 5
+        self.platform.writes._tokens = 5
+        statuses = [(await self.put(f"k{i}", b"", If_None_Match="*"))[0] for i in range(9)]
+        self.assertEqual(statuses[:5], [200] * 5)
+        self.assertEqual(statuses[-1], 429)
+        counts = self.platform.counters.to_json()
+        self.assertEqual(counts["calls"]["put"], 9)
+        self.assertEqual(counts["statuses"]["put:429"], statuses.count(429))
+
+    async def test_lost_answer_took_effect(self):
+        """Guards against a fault that loses the write instead of its answer."""
+        self.platform.faults.lose_writes = 1
+        self.platform.faults.lose_prefix = "once/"
+        self.assertEqual((await self.put("other", b"1", If_None_Match="*"))[0], 200)
+        with self.assertRaises(DisconnectedError):
+            await self.put("once/1", b"1", If_None_Match="*")
+        self.assertEqual(self.platform.store.get("once/1").value, b"1")
+        self.assertEqual((await self.put("once/2", b"1", If_None_Match="*"))[0], 200)
+        self.assertEqual(self.platform.counters.lost_answers, 1)
+
+    async def test_outage_refuses_or_hangs_and_ends(self):
+        """Guards against an outage during which a call still takes effect."""
+        await self.platform.set_outage("refuse")
+        with self.assertRaises(DisconnectedError):
+            await self.put("k", b"1", If_None_Match="*")
+        await self.platform.set_outage("hang")
+        timeout = aiohttp.ClientTimeout(total=0.1)
+        with self.assertRaises(TimeoutError):
+            await self.session.get(f"{self.url}/instances", timeout=timeout)
+        hung = asyncio.create_task(self.put("k", b"1", If_None_Match="*"))
+        await asyncio.sleep(0.05)
+        await self.platform.set_outage("none")
+        with self.assertRaises(DisconnectedError):
+            await hung
+        self.assertIsNone(self.platform.store.get("k"))
+        self.assertEqual((await self.put("k", b"1", If_None_Match="*"))[0], 200)
+
+    async def test_instance_list_lags(self):
+        """Guards against a list that shows changes at once."""
+        self.platform.set_instances([{"id": "a1"}])
+        async with self.session.get(f"{self.url}/instances") as answer:
+            self.assertEqual((await answer.json())["instances"], [])
+        await asyncio.sleep(0.1)
+        async with self.session.get(f"{self.url}/instances") as answer:
+            self.assertEqual((await answer.json())["instances"], [{"id": "a1"}])
--- /dev/null
+++ b/tests/standins/test_searcher.py
@@ -0,0 +1,202 @@
+"""Tests of standins.searcher: they guard against a witness that counts wrongly."""
+
+import asyncio
+import socket
+import time
+import unittest
+from typing import Any
+
+import aiohttp
+
+from standins.searcher import Config, Process, SearcherConfig, Shard, inject_fault
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class SearcherTest(unittest.IsolatedAsyncioTestCase):
+    """One searcher in this process; each test sets what it needs."""
+
+    async def start(self, **changes: Any) -> None:
+        fields = {
+            "id": "t1",
+            "port": free_port(),
+            "slots": 4,
+            "connections": 20,
+            "cold_limit": 2,
+            "connect_ms": 0,
+            "service_ms": 40,
+            "service_sigma": 0,
+            "fail_ms": 150,
+            "shards": [Shard(id="s17", low=0, high=100)],
+        }
+        config = SearcherConfig(**{**fields, **changes})
+        process = Process(Config(admin_port=0, searchers=[config]))
+        self.process = process
+        self.searcher = process.searchers_by_id["t1"]
+        await self.searcher.listen()
+        self.url = f"http://127.0.0.1:{config.port}"
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self.addAsyncCleanup(self.stop)
+
+    async def stop(self):
+        await self.session.close()
+        await self.searcher.set_down(True)
+
+    async def ask(
+        self,
+        request_id: str = "r",
+        path: str = "/search",
+        snapshot: str = "s17",
+        deadline_ms: int = 1000,
+        low: int = 10,
+    ) -> tuple[int, dict]:
+        headers = {
+            "Request-Id": request_id,
+            "Request-Key": f"key-{request_id}",
+            "Deadline-Ms": str(deadline_ms),
+            "Snapshot": snapshot,
+        }
+        body = {"low": low, "high": 30, "query": f"q-{request_id}"}
+        async with self.session.post(self.url + path, json=body, headers=headers) as answer:
+            self.cold = answer.headers["Searcher-Cold"]
+            return answer.status, await answer.json()
+
+    async def ask_many(self, count: int, **options: Any) -> list[Any]:
+        asks = (self.ask(request_id=f"r{i}", **options) for i in range(count))
+        return await asyncio.gather(*asks, return_exceptions=True)
+
+    async def test_answer_shows_snapshot_range_and_query(self):
+        """Guards against answers in which a mixed snapshot would not show."""
+        await self.start()
+        status, answer = await self.ask()
+        self.assertEqual(status, 200)
+        expected = {"snapshot": "s17", "low": 10, "high": 30, "count": 340, "echo": "q-r"}
+        self.assertEqual(answer, expected)
+        self.assertEqual((await self.ask(snapshot="s16"))[0], 409)
+        self.searcher.publish(Shard(id="s18", low=20, high=100))
+        self.assertEqual((await self.ask(snapshot="s18"))[0], 409)
+        self.assertEqual((await self.ask(snapshot="s18", low=20))[1]["count"], 180)
+        counts = self.searcher.witness
+        self.assertEqual(dict(counts.completed_by_snapshot), {"s17": 1, "s18": 1})
+        self.assertEqual((counts.received, counts.snapshot_missing), (4, 2))
+
+    async def test_runs_over_the_slots_are_shed_and_not_counted_as_runs(self):
+        """Guards against a shed request that counts as run, or a run that does not count."""
+        await self.start()
+        results = await self.ask_many(7, path="/submit")
+        statuses = sorted(status for status, _ in results)
+        self.assertEqual(statuses, [200] * 4 + [503] * 3)
+        self.assertEqual(sum(self.searcher.witness.runs_by_key.values()), 4)
+        self.assertEqual(self.searcher.witness.most_in_flight, 4)
+        await self.ask(request_id="r0", path="/submit")
+        self.assertEqual(self.searcher.witness.runs_by_key["key-r0"], 2)
+
+    async def test_queued_requests_get_the_free_slots(self):
+        """Guards against slots that are lost or used twice when requests wait for them."""
+        await self.start(queue=8, service_ms=20)
+        results = await self.ask_many(12)
+        self.assertEqual([status for status, _ in results], [200] * 12)
+        self.assertEqual(self.searcher.witness.most_in_flight, 4)
+        self.assertEqual((await self.ask_many(4))[3][0], 200)
+        self.assertEqual(self.searcher.witness_json()["in_flight"], 0)
+
+    async def test_cold_searcher_fails_over_its_limit_and_counts_it(self):
+        """Guards against a cold start that is overloaded unseen, or counted when it is not."""
+        await self.start(start_cold=True)
+        self.assertEqual([status for status, _ in await self.ask_many(2)], [200, 200])
+        self.assertEqual(self.cold, "1")
+        self.assertEqual(self.searcher.witness.over_cold_limit, 0)
+        self.assertEqual(self.searcher.witness.cold_most_in_flight, 2)
+        results = await self.ask_many(3)
+        self.assertTrue(all(isinstance(item, aiohttp.ClientError) for item in results), results)
+        self.assertEqual(self.searcher.witness.over_cold_limit, 1)
+        self.assertEqual(self.searcher.witness.cold_most_in_flight, 3)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.ask()
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.ask())[0], 200)
+
+    async def test_searcher_warms_up_and_turns_cold_again(self):
+        """Guards against a cold state that does not end, or a fault that does not start it."""
+        await self.start(start_cold=True, warm_after=3, service_ms=1)
+        flags = []
+        for _ in range(4):
+            await self.ask()
+            flags.append(self.cold)
+        self.assertEqual(flags, ["1", "1", "0", "0"])
+        await inject_fault(self.searcher, {"fault": "cold", "grace_ms": 100})
+        results = await self.ask_many(4)
+        self.assertEqual([status for status, _ in results], [200] * 4)
+        self.assertEqual(self.searcher.witness.over_cold_limit_in_grace, 2)
+        self.assertEqual(self.searcher.witness.over_cold_limit, 0)
+
+    async def test_deadline_and_cancellation_end_the_work(self):
+        """Guards against work that goes on after its deadline or its cancellation."""
+        await self.start(service_ms=500)
+        started = time.monotonic()
+        self.assertEqual((await self.ask(deadline_ms=60))[0], 504)
+        cancelled = asyncio.create_task(self.ask(request_id="c"))
+        await asyncio.sleep(0.05)
+        async with self.session.delete(f"{self.url}/requests/c") as answer:
+            self.assertEqual(await answer.json(), {"cancelled": 1})
+        self.assertEqual((await cancelled)[0], 499)
+        self.assertLess(time.monotonic() - started, 0.4)
+        counts = self.searcher.witness
+        self.assertEqual((counts.deadline, counts.cancelled, counts.completed), (1, 1, 0))
+        self.assertEqual(self.searcher.witness_json()["in_flight"], 0)
+
+    async def test_connections_over_the_cap_are_closed(self):
+        """Guards against a cap that is not enforced, or counts closed connections."""
+        await self.start(connections=3)
+        results = await self.ask_many(5)
+        failed = [item for item in results if isinstance(item, Exception)]
+        self.assertEqual(len(failed), 2)
+        self.assertEqual(self.searcher.witness.connections_refused, 2)
+        self.assertEqual(self.searcher.witness.peak_connections, 3)
+        await self.session.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.searcher.witness_json()["open_connections"], 0)
+
+    async def test_new_connection_takes_the_connect_time(self):
+        """Guards against connections that cost nothing."""
+        await self.start(connect_ms=60, service_ms=1)
+        times = []
+        for _ in range(2):
+            started = time.monotonic()
+            await self.ask()
+            times.append(time.monotonic() - started)
+        self.assertGreater(times[0], 0.055)
+        self.assertLess(times[1], 0.04)
+
+    async def test_silent_connections_swallow_requests_and_new_ones_work(self):
+        """Guards against a silent connection that answers, or work that runs unseen on one."""
+        await self.start(service_ms=1)
+        await self.ask()
+        await inject_fault(self.searcher, {"fault": "silent"})
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(self.ask(request_id="lost"), 0.15)
+        self.assertEqual(self.searcher.witness.received, 1)
+        self.assertEqual((await self.ask())[0], 200)
+
+    async def test_straggler_share_and_seed(self):
+        """Guards against stragglers that are too many, too few, or differ between runs."""
+        await self.start(straggler_one_in=100, straggler_factor=20, service_ms=10)
+        draws = [self.searcher._draw_service_s() for _ in range(20_000)]
+        slow = sum(1 for draw in draws if draw > 0.1)
+        self.assertAlmostEqual(slow, 200, delta=60)
+        await self.stop()
+        await self.start(straggler_one_in=100, straggler_factor=20, service_ms=10)
+        self.assertEqual([self.searcher._draw_service_s() for _ in range(20_000)], draws)
+
+    async def test_arrivals_are_found_by_time(self):
+        """Guards against a witness that misses work sent after a lease lapsed."""
+        await self.start(service_ms=1)
+        await self.ask(request_id="before")
+        moment = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        await self.ask(request_id="after")
+        found = [item[1] for item in self.searcher.arrivals if item[0] > moment]
+        self.assertEqual(found, ["after"])
