--- a/standins/searcher.py
+++ b/standins/searcher.py
@@ -681,7 +681,7 @@
         return web.json_response({"searchers": len(chosen)})
 
     async def _admin_snapshots(self, request: web.Request) -> web.Response:
-        """Hold `add` (shards by searcher id) and drop the snapshots in `drop` everywhere."""
+        """Hold `add` (shards by searcher id); drop the snapshots in `drop` at `searchers`."""
         body = await request.json()
         shards_by_searcher = msgspec.convert(body.get("add", {}), dict[str, Shard])
         chosen = self._choose(shards_by_searcher)
@@ -689,8 +689,11 @@
             return chosen
         for searcher in chosen:
             searcher.publish(shards_by_searcher[searcher.config.id])
+        dropping = self._choose(body.get("searchers"))
+        if isinstance(dropping, web.Response):
+            return dropping
         for snapshot in body.get("drop", []):
-            for searcher in self.searchers_by_id.values():
+            for searcher in dropping:
                 searcher.shards_by_snapshot.pop(snapshot, None)
         return web.json_response({})
 
--- /dev/null
+++ b/tests/standins/test_launcher.py
@@ -0,0 +1,162 @@
+"""Tests of standins.launcher without processes of the tier."""
+
+import copy
+import os
+import signal
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+from flamingostack.errors import Failure
+from flamingostack.generated import messages_pb2 as pb
+from flamingostack.settings import load_settings
+from standins.deployments import ASSINIBOINE, DUMALAGAN
+from standins.launcher import ROOT, Cluster, LauncherError, find_wrong
+
+SMALL = DUMALAGAN.reduce(groups=2, services=("enquiry",))
+INTERRUPTED = """
+import asyncio
+from standins.deployments import DUMALAGAN
+from standins.launcher import Cluster
+
+async def main():
+    deployment = DUMALAGAN.reduce(groups=1, services=("enquiry",))
+    async with Cluster(deployment, proxied=["store"], start_instances=False) as cluster:
+        print(*(item.pid for item in cluster.processes if item.pid), flush=True)
+        await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
+
+def is_alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return "Z" not in Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+
+
+def stub_cluster(**options) -> Cluster:
+    return Cluster(SMALL, start_instances=False, **options)
+
+
+class ClusterTest(unittest.IsolatedAsyncioTestCase):
+    """Platform, searchers and proxy without instances."""
+
+    async def test_index_and_snapshots_are_published(self):
+        """Guards against a map that names a snapshot no searcher has, or a dropped one."""
+        async with stub_cluster(proxied=["searchers"]) as cluster:
+            index = pb.ServiceIndex.FromString(await cluster.store_object("index/enquiry"))
+            self.assertEqual([item.id for item in index.snapshots], ["s1"])
+            for number in (2, 3):
+                await cluster.publish_snapshot(f"s{number}", shift=50, drop_after_s=0)
+            index = pb.ServiceIndex.FromString(await cluster.store_object("index/enquiry"))
+            self.assertEqual([item.id for item in index.snapshots], ["s2", "s3"])
+            witness = await cluster.witness()
+            self.assertEqual(len(witness), 6)
+            for seen in witness.values():
+                self.assertEqual(seen["snapshots"], ["s2", "s3"])
+            await self.ask(cluster, index)
+
+    async def ask(self, cluster: Cluster, index: pb.ServiceIndex) -> None:
+        key_range = index.snapshots[-1].ranges[1]
+        addresses = {target.id: target.address for target in index.targets}
+        body = {"low": key_range.low, "high": key_range.high, "query": "q"}
+        headers = {"Request-Id": "r1", "Deadline-Ms": "900", "Snapshot": "s3"}
+        for target in key_range.targets:
+            url = f"http://{addresses[target]}/search"
+            async with cluster.session.post(url, json=body, headers=headers) as answer:
+                self.assertEqual(answer.status, 200)
+        self.assertEqual(await cluster.runs_by_request_id("r"), {"r1": 3})
+        witness = await cluster.witness()
+        completed = {key: seen["completed"] for key, seen in witness.items() if seen["completed"]}
+        self.assertEqual(completed, dict.fromkeys(key_range.targets, 1))
+        arrivals = await cluster.arrivals(after_ns=0)
+        self.assertEqual(sum(item["count"] for item in arrivals.values()), 3)
+
+    async def test_settings_are_valid_with_all_links(self):
+        """Guards against instances that bypass the proxy that should cut them off."""
+        proxied = ["instances", "store", "callers"]
+        async with Cluster(
+            ASSINIBOINE.reduce(groups=1, services=("board",)),
+            proxied=proxied,
+            settings={"fleet": {"lease_ms": 900, "sync_ms": 200}},
+            start_instances=False,
+        ) as cluster:
+            self.assertEqual(len(cluster.links_between(["east-1"], ["west-1"])), 4)
+            for instance in cluster.instances.values():
+                settings = load_settings(instance.settings_path)
+                self.assertNotIsInstance(settings, Failure, settings)
+                self.assertEqual(settings.fleet.lease_ms, 900)
+                self.assertEqual(len(settings.routes), 4)
+                self.assertNotEqual(settings.store.url, cluster.store_url)
+
+    async def test_nothing_is_left_after_an_exception(self):
+        """Guards against processes that outlive a failed test, also frozen ones."""
+        with self.assertRaises(LauncherError):
+            async with stub_cluster() as cluster:
+                pids = [process.pid for process in cluster.processes if process.pid]
+                self.assertGreaterEqual(len(pids), 3)
+                cluster.processes[0].send_signal(signal.SIGSTOP)
+                raise LauncherError("raised by the test")
+        self.assertEqual([pid for pid in pids if is_alive(pid)], [])
+
+
+class InterruptTest(unittest.TestCase):
+    """A launcher in a process of its own."""
+
+    def test_nothing_is_left_after_ctrl_c(self):
+        """Guards against processes that outlive an interrupted demo."""
+        child = subprocess.Popen(
+            [sys.executable, "-c", INTERRUPTED],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
+        try:
+            line = child.stdout.readline()
+            pids = [int(word) for word in line.split()]
+            self.assertGreaterEqual(len(pids), 4)
+            self.assertTrue(all(is_alive(pid) for pid in pids))
+            child.send_signal(signal.SIGINT)
+            child.wait(10)
+        finally:
+            child.kill()
+            child.wait()
+            child.stdout.close()
+        self.assertEqual([pid for pid in pids if is_alive(pid)], [])
+
+
+class FindWrongTest(unittest.TestCase):
+    """Guards against a check of answers that lets wrong ones pass."""
+
+    def setUp(self):
+        self.answer = {
+            "snapshot": "s3",
+            "coverage": 0.75,
+            "missing": [[10, 15]],
+            "parts": [
+                {"snapshot": "s3", "low": 15, "high": 20, "count": 15, "echo": "q"},
+                {"snapshot": "s3", "low": 0, "high": 10, "count": 30, "echo": "q"},
+            ],
+        }
+
+    def test_right_answer(self):
+        self.assertEqual(find_wrong(self.answer, "q", 0, 20), "")
+
+    def test_each_wrong_field_is_found(self):
+        changes = [
+            ("coverage", lambda answer: answer.update(coverage=1.0)),
+            ("ranges", lambda answer: answer.update(missing=[])),
+            ("ranges", lambda answer: answer["parts"].append(answer["parts"][0])),
+            ("counts", lambda answer: answer["parts"][0].update(count=10)),
+            ("echo", lambda answer: answer["parts"][1].update(echo="r")),
+            ("snapshot", lambda answer: answer["parts"][1].update(snapshot="s2")),
+            ("ranges", lambda answer: answer["parts"].pop()),
+        ]
+        for name, change in changes:
+            answer = copy.deepcopy(self.answer)
+            change(answer)
+            self.assertNotEqual(find_wrong(answer, "q", 0, 20), "", name)
