--- /dev/null
+++ b/flamingostack/entry/explain.py
@@ -0,0 +1,150 @@
+"""Bounded traces of the last requests: where each went, why, and what came back."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from ..generated import messages_pb2 as pb
+
+# Fields of one attempt in `Trace.attempts`, which is flat: thousands of traces are kept, and a
+# tuple for each attempt would double their size.
+ATTEMPT_FIELDS = 9
+STATUS_FIELD = 6
+REASON_FIELD = 7
+END_FIELD = 8
+PENDING = -1
+
+PRIMARY = "primary"
+HEDGE = "hedge"
+RETRY = "retry"
+ELSEWHERE = "not_run_elsewhere"
+SNAPSHOT = "snapshot_missing_elsewhere"
+SUBMIT = "submit"
+
+STATUS_NAMES = {
+    value: name.removeprefix("SUB_STATUS_").lower() for name, value in pb.SubStatus.items()
+}
+STATUS_NAMES[PENDING] = "pending"
+
+
+class Trace:
+    """What happened to one request; times in seconds of the event loop's clock."""
+
+    __slots__ = (
+        "request_id",
+        "tenant",
+        "request_class",
+        "service",
+        "preset",
+        "started",
+        "attempts",
+        "events",
+        "code",
+        "elapsed",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        tenant: str,
+        request_class: str,
+        service: str,
+        preset: str,
+        started: float,
+    ) -> None:
+        self.request_id = request_id
+        self.tenant = tenant
+        self.request_class = request_class
+        self.service = service
+        self.preset = preset
+        self.started = started
+        self.attempts: list = []
+        self.events: list[tuple[float, str]] = []
+        self.code = ""
+        self.elapsed = 0.0
+
+    def add_attempt(
+        self,
+        target_id: str,
+        instance: str,
+        low: int,
+        high: int,
+        why: str,
+        now: float,
+    ) -> int:
+        """Add an attempt and return its index for `end_attempt`."""
+        index = len(self.attempts)
+        self.attempts += (target_id, instance, low, high, why, now, PENDING, "", 0.0)
+        return index
+
+    def end_attempt(self, index: int, status: int, reason: str, now: float) -> None:
+        """Record how an attempt ended."""
+        attempts = self.attempts
+        attempts[index + STATUS_FIELD] = status
+        attempts[index + REASON_FIELD] = reason
+        attempts[index + END_FIELD] = now
+
+    def add_event(self, text: str, now: float) -> None:
+        """Record a decision that concerns the whole request."""
+        self.events.append((now, text))
+
+    def end(self, code: str, now: float) -> None:
+        """Record how the request ended."""
+        self.code = code
+        self.elapsed = now - self.started
+
+    def render(self) -> dict:
+        """Return the trace as JSON values, times in milliseconds since the request arrived."""
+        return {
+            "request_id": self.request_id,
+            "tenant": self.tenant,
+            "class": self.request_class,
+            "service": self.service,
+            "preset": self.preset,
+            "code": self.code or "running",
+            "elapsed_ms": round(self.elapsed * 1000, 3),
+            "events": [{"at_ms": self._ms(at), "event": text} for at, text in self.events],
+            "attempts": [
+                self._render_attempt(self.attempts[index : index + ATTEMPT_FIELDS])
+                for index in range(0, len(self.attempts), ATTEMPT_FIELDS)
+            ],
+        }
+
+    def _render_attempt(self, fields: list) -> dict:
+        target_id, instance, low, high, why, start, status, reason, end = fields
+        return {
+            "target": target_id,
+            "instance": instance,
+            "low": low,
+            "high": high,
+            "why": why,
+            "start_ms": self._ms(start),
+            "end_ms": self._ms(end) if end else None,
+            "status": STATUS_NAMES.get(status, str(status)),
+            "reason": reason,
+        }
+
+    def _ms(self, at: float) -> float:
+        return round((at - self.started) * 1000, 3)
+
+
+class Traces:
+    """The last `capacity` traces by request id."""
+
+    __slots__ = ("capacity", "_traces_by_id")
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self._traces_by_id: OrderedDict[str, Trace] = OrderedDict()
+
+    def add(self, trace: Trace) -> None:
+        """Keep a trace in place of the oldest."""
+        if not self.capacity:
+            return
+        self._traces_by_id[trace.request_id] = trace
+        if len(self._traces_by_id) > self.capacity:
+            self._traces_by_id.popitem(last=False)
+
+    def find(self, request_id: str) -> Trace | None:
+        """Return a trace, or None if it is unknown or no longer kept."""
+        return self._traces_by_id.get(request_id)
--- /dev/null
+++ b/flamingostack/entry/fanout.py
@@ -0,0 +1,664 @@
+"""Fan-out of one query: sub-requests, hedges, retries and the merged answer.
+
+A query is a plain state machine without a task of its own: replies call `on_reply`, and one timer
+serves hedges, retries and the deadline. At 55 sub-requests a task for each would cost more than
+all the rest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from ..environment import Environment
+from ..generated import messages_pb2 as pb
+from ..generated.preset import ClassPolicy
+from ..state import FleetView, StateFeed
+from . import explain
+from .budget import ExtraBudget
+from .coverage import Interval, coverage_share, missing_intervals
+from .explain import Trace
+from .latency import LatencyWindow
+from .link import Attempt, Links
+from .plan import Maps, PinnedMap, check_range
+from .refusals import EntryReason
+from .replicas import AVOID_AFTER_FAILURE_S, AVOID_AFTER_REFUSAL_S, Replicas, Route
+
+MS_PER_S = 1000
+# A class without enough samples yet is hedged at this share of the deadline.
+FIRST_HEDGE_SHARE = 1 / 3
+HEDGE_RECHECK_MIN_S = 0.005
+# Pauses before the replicas are asked again after each of them answered NOT_RUN: long enough in
+# sum for a partition to change hands, then the part is given up.
+REFUSAL_PAUSES_S = (0.005, 0.01, 0.02, 0.04, 0.08, 0.16)
+MAX_RESTARTS = 2
+# The answer leaves this share of the deadline early, within these bounds.
+ANSWER_MARGIN_SHARE = 0.05
+ANSWER_MARGIN_MIN_S = 0.002
+ANSWER_MARGIN_MAX_S = 0.015
+
+QUEUE_FULL = "queue_full"
+SNAPSHOT_DIFFERS = "snapshot_differs"
+MALFORMED_ANSWER = "malformed_answer"
+
+
+class Part:
+    """One key range of a query and what has happened to it."""
+
+    __slots__ = (
+        "low",
+        "high",
+        "replicas",
+        "tried",
+        "lacking",
+        "running",
+        "answer",
+        "is_open",
+        "is_hedged",
+        "refusals",
+        "is_queue_full",
+        "sent_at",
+    )
+
+    def __init__(self, low: int, high: int, replicas: tuple[str, ...]) -> None:
+        self.low = low
+        self.high = high
+        self.replicas = replicas
+        self.tried: list[str] = []
+        self.lacking: list[str] = []
+        self.running: list[Attempt] = []
+        self.answer = b""
+        self.is_open = True
+        self.is_hedged = False
+        self.refusals = 0
+        self.is_queue_full = False
+        self.sent_at = 0.0
+
+
+class QueryPlan:
+    """What a caller asks for, after all checks; `deadline` is on the event loop's clock."""
+
+    __slots__ = (
+        "request_id",
+        "request_class",
+        "policy",
+        "foreign_penalty_s",
+        "payload",
+        "low",
+        "high",
+        "deadline",
+        "min_coverage",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        request_class: str,
+        policy: ClassPolicy,
+        foreign_penalty_s: float,
+        payload: bytes,
+        low: int | None,
+        high: int | None,
+        deadline: float,
+        min_coverage: float,
+    ) -> None:
+        self.request_id = request_id
+        self.request_class = request_class
+        self.policy = policy
+        self.foreign_penalty_s = foreign_penalty_s
+        self.payload = payload
+        self.low = low
+        self.high = high
+        self.deadline = deadline
+        self.min_coverage = min_coverage
+
+
+class QueryResult:
+    """The merged answer; `reason` is None if it may be given to the caller."""
+
+    __slots__ = ("reason", "message", "snapshot", "coverage", "missing", "bodies")
+
+    def __init__(
+        self,
+        reason: EntryReason | None,
+        message: str,
+        snapshot: str,
+        coverage: float,
+        missing: list[Interval],
+        bodies: list[bytes],
+    ) -> None:
+        self.reason = reason
+        self.message = message
+        self.snapshot = snapshot
+        self.coverage = coverage
+        self.missing = missing
+        self.bodies = bodies
+
+
+class FanoutCounts:
+    """Counters of sub-requests, plain integers since they change on the hot path."""
+
+    __slots__ = ("primaries", "hedges", "retries", "elsewhere", "restarts", "cancels", "lost_parts")
+
+    def __init__(self) -> None:
+        self.primaries = 0
+        self.hedges = 0
+        self.retries = 0
+        self.elsewhere = 0
+        self.restarts = 0
+        self.cancels = 0
+        self.lost_parts = 0
+
+
+class Fanout:
+    """What all queries of this process share."""
+
+    __slots__ = (
+        "environment",
+        "feed",
+        "links",
+        "replicas",
+        "maps",
+        "is_baseline",
+        "counts",
+        "loop",
+        "_budgets_by_class",
+        "_windows_by_service",
+    )
+
+    def __init__(self, environment: Environment, feed: StateFeed) -> None:
+        self.environment = environment
+        self.feed = feed
+        self.is_baseline = environment.settings.entry.baseline
+        own_address = environment.settings.dispatch.listen if self.is_baseline else ""
+        self.links = Links(environment)
+        self.replicas = Replicas(own_address)
+        self.maps = Maps()
+        self.counts = FanoutCounts()
+        self.loop = asyncio.get_running_loop()
+        self._budgets_by_class: dict[str, ExtraBudget] = {}
+        self._windows_by_service: dict[str, LatencyWindow] = {}
+
+    def apply(self, view: FleetView) -> None:
+        """Use a new view for all later choices; running queries keep their snapshot."""
+        self.replicas.apply(view)
+        if not self.is_baseline:
+            self.links.apply(view)
+
+    def newest_map(self, service: str) -> PinnedMap | None:
+        """Return the newest snapshot of a service's map."""
+        return self.maps.newest(self.feed.view.indexes_by_service, service)
+
+    def budget_of(self, request_class: str) -> ExtraBudget:
+        """Return the budget that the hedges and retries of a class share."""
+        budget = self._budgets_by_class.get(request_class)
+        if budget is None:
+            budget = self._budgets_by_class[request_class] = ExtraBudget()
+        return budget
+
+    def window_of(self, service: str) -> LatencyWindow:
+        """Return the latencies of a service's sub-requests."""
+        window = self._windows_by_service.get(service)
+        if window is None:
+            window = self._windows_by_service[service] = LatencyWindow(self.loop.time())
+        return window
+
+    def start_query(
+        self,
+        plan: QueryPlan,
+        pinned: PinnedMap,
+        interval: Interval,
+        trace: Trace,
+    ) -> asyncio.Future[QueryResult]:
+        """Send a query's sub-requests; the result comes at the latest just before the deadline."""
+        query = Query(self, plan, pinned, interval, trace)
+        query.start()
+        return query.result
+
+
+class Query:
+    """One running query on one pinned snapshot."""
+
+    __slots__ = (
+        "fanout",
+        "plan",
+        "pinned",
+        "low",
+        "high",
+        "trace",
+        "result",
+        "parts",
+        "open_parts",
+        "lost_keys",
+        "may_have_run",
+        "restarts",
+        "budget",
+        "window",
+        "_answer_at",
+        "_hedge_after",
+        "_hedge_at",
+        "_pauses",
+        "_timer",
+        "_timer_at",
+    )
+
+    def __init__(
+        self,
+        fanout: Fanout,
+        plan: QueryPlan,
+        pinned: PinnedMap,
+        interval: Interval,
+        trace: Trace,
+    ) -> None:
+        self.fanout = fanout
+        self.plan = plan
+        self.pinned = pinned
+        self.low, self.high = interval
+        self.trace = trace
+        self.result: asyncio.Future[QueryResult] = fanout.loop.create_future()
+        self.parts: list[Part] = []
+        self.open_parts = 0
+        self.lost_keys = 0
+        self.may_have_run = False
+        self.restarts = 0
+        self.budget = fanout.budget_of(plan.request_class)
+        self.window = fanout.window_of(pinned.service)
+        self._answer_at = plan.deadline - answer_margin(plan.deadline - trace.started)
+        self._hedge_after = 0.0
+        self._hedge_at = float("inf")
+        self._pauses: list[tuple[float, Part, bool]] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float("inf")
+
+    # ---- Sending ---------------------------------------------------------
+
+    def start(self) -> None:
+        """Send one sub-request for each part of the pinned snapshot."""
+        now = self.fanout.loop.time()
+        pinned = self.pinned
+        self.parts = [Part(*item) for item in pinned.split(self.low, self.high)]
+        self.open_parts = len(self.parts)
+        self.lost_keys = self.high - self.low
+        for part in self.parts:
+            self.lost_keys -= part.high - part.low
+        self._hedge_after = self._find_hedge_delay(now)
+        self._hedge_at = now + self._hedge_after
+        if not self.restarts:
+            self.budget.earn(self.open_parts, self.plan.policy.extra_load_percent)
+            self.fanout.counts.primaries += self.open_parts
+        for part in self.parts:
+            self._send(part, now, explain.PRIMARY, False)
+            if self.result.done():
+                return
+        self._end_if_settled(now)
+        self._arm()
+
+    def _send(self, part: Part, now: float, why: str, is_paid: bool) -> None:
+        """Send a part to a replica not tried yet; without one, pause and ask all again."""
+        route = self._choose(part, now)
+        if route is None:
+            self._pause(part, now, is_paid)
+        else:
+            self._send_to(route, part, now, why, is_paid)
+
+    def _choose(self, part: Part, now: float) -> Route | None:
+        replicas = self.fanout.replicas
+        if self.fanout.is_baseline:
+            return replicas.choose_random(part.replicas)
+        return replicas.choose(part.replicas, part.tried, now, self.plan.foreign_penalty_s)
+
+    def _send_to(self, route: Route, part: Part, now: float, why: str, is_paid: bool) -> None:
+        plan = self.plan
+        attempt = Attempt(self, route, part, is_paid)
+        part.tried.append(route.target_id)
+        part.running.append(attempt)
+        part.sent_at = now
+        if self._hedge_at > now + self._hedge_after and not part.is_hedged:
+            self._hedge_at = now + self._hedge_after
+        route.state.outstanding += 1
+        attempt.trace_index = self.trace.add_attempt(
+            route.target_id, route.instance, part.low, part.high, why, now
+        )
+        self.fanout.links.get(route.address).send(
+            attempt,
+            now,
+            request_id=plan.request_id,
+            service=self.pinned.service,
+            target=route.target_id,
+            snapshot=self.pinned.snapshot,
+            low=part.low,
+            high=part.high,
+            deadline_ms=max(int((plan.deadline - now) * MS_PER_S), 1),
+            request_class=plan.request_class,
+            payload=plan.payload,
+            hedge=why is explain.HEDGE,
+        )
+
+    # ---- Replies ---------------------------------------------------------
+
+    def on_reply(self, attempt: Attempt, reply: pb.SubReply, now: float) -> None:
+        """Take the reply of one attempt."""
+        state = attempt.route.state
+        state.outstanding -= 1
+        part: Part = attempt.part
+        part.running.remove(attempt)
+        status = reply.status
+        reason = reply.reason
+        if status == pb.SUB_STATUS_OK:
+            self.may_have_run = True
+            latency = now - attempt.sent_at
+            state.record_latency(latency, now)
+            state.record_report(reply, now)
+            self.window.record(latency)
+            if reply.snapshot != self.pinned.snapshot:
+                status, reason = pb.SUB_STATUS_SNAPSHOT_MISSING, SNAPSHOT_DIFFERS
+            elif is_json(body := reply.body):
+                self.trace.end_attempt(attempt.trace_index, status, reason, now)
+                self._answer_part(part, body, now)
+                return
+            else:
+                status, reason = pb.SUB_STATUS_FAILED, MALFORMED_ANSWER
+        elif reply.limit:
+            state.record_report(reply, now)
+        self.trace.end_attempt(attempt.trace_index, status, reason, now)
+        self._handle_failure(attempt, part, status, reason, now)
+        self._arm()
+
+    def _answer_part(self, part: Part, body: bytes, now: float) -> None:
+        part.answer = body
+        part.is_open = False
+        if part.running:
+            self._cancel_running(part, now)
+        self.open_parts -= 1
+        if not self.open_parts:
+            self._finish(now)
+
+    def _handle_failure(
+        self,
+        attempt: Attempt,
+        part: Part,
+        status: int,
+        reason: str,
+        now: float,
+    ) -> None:
+        state = attempt.route.state
+        if status == pb.SUB_STATUS_NOT_RUN:
+            state.avoid_until = now + AVOID_AFTER_REFUSAL_S
+        elif status == pb.SUB_STATUS_SNAPSHOT_MISSING:
+            part.lacking.append(attempt.route.target_id)
+        else:
+            state.avoid_until = now + AVOID_AFTER_FAILURE_S
+            self.may_have_run |= status != pb.SUB_STATUS_TARGET_SHED
+        if not part.is_open:
+            return
+        if self.fanout.is_baseline:
+            self._lose(part, now)
+        elif status == pb.SUB_STATUS_NOT_RUN:
+            self._send_elsewhere(attempt, part, reason, now)
+        elif status == pb.SUB_STATUS_SNAPSHOT_MISSING:
+            self._ask_other_snapshot_holder(part, reason, now)
+        elif not part.running:
+            self._retry(part, now)
+
+    def _send_elsewhere(self, attempt: Attempt, part: Part, reason: str, now: float) -> None:
+        """Try a part elsewhere that was never sent to a target."""
+        part.is_queue_full = reason == QUEUE_FULL
+        if part.running:
+            # The other attempt goes on; what was paid for this one is still unused.
+            if attempt.is_paid:
+                self.budget.tokens += 1
+            return
+        if not self.fanout.feed.is_current():
+            self._lose(part, now)
+            return
+        self.fanout.counts.elsewhere += 1
+        self._send(part, now, explain.ELSEWHERE, attempt.is_paid)
+
+    def _pause(self, part: Part, now: float, is_paid: bool) -> None:
+        """Wait before the replicas are asked again; give up if that cannot help."""
+        if not self._may_ask_again(part):
+            if part.lacking:
+                self._restart_or_lose(part, now)
+            else:
+                self._lose(part, now)
+            return
+        pause = REFUSAL_PAUSES_S[part.refusals]
+        part.refusals += 1
+        part.tried[:] = part.lacking
+        self._pauses.append((now + pause, part, is_paid))
+
+    def _may_ask_again(self, part: Part) -> bool:
+        if self.fanout.is_baseline or part.refusals >= len(REFUSAL_PAUSES_S):
+            return False
+        # Full queues do not drain within the pauses, and a refusal is worth more early.
+        if part.is_queue_full:
+            return False
+        return len(part.lacking) < len(part.replicas)
+
+    def _ask_other_snapshot_holder(self, part: Part, reason: str, now: float) -> None:
+        """Ask a replica that may have the pinned snapshot.
+
+        The target that lacks it did no work, and each replica is asked once, so this draws
+        nothing from the budget. A target that answered from another snapshot did run.
+        """
+        if part.running:
+            return
+        if reason == SNAPSHOT_DIFFERS and not self.plan.policy.repeatable:
+            self._lose(part, now)
+            return
+        route = self._choose(part, now)
+        if route is not None:
+            self._send_to(route, part, now, explain.SNAPSHOT, False)
+        else:
+            self._restart_or_lose(part, now)
+
+    def _retry(self, part: Part, now: float) -> None:
+        if not self._may_send_extra() or not self.budget.take():
+            self._lose(part, now)
+            return
+        route = self._choose(part, now)
+        if route is None:
+            self.budget.tokens += 1
+            self._lose(part, now)
+            return
+        self.fanout.counts.retries += 1
+        self._send_to(route, part, now, explain.RETRY, True)
+
+    def _may_send_extra(self) -> bool:
+        return (
+            not self.fanout.is_baseline
+            and self.plan.policy.repeatable
+            and self.fanout.feed.is_current()
+        )
+
+    def _lose(self, part: Part, now: float) -> None:
+        part.is_open = False
+        self.open_parts -= 1
+        self.lost_keys += part.high - part.low
+        self.fanout.counts.lost_parts += 1
+        self._end_if_settled(now)
+
+    def _end_if_settled(self, now: float) -> None:
+        if self.result.done():
+            return
+        keys = self.high - self.low
+        is_hopeless = (keys - self.lost_keys) / keys < self.plan.min_coverage
+        if not self.open_parts or is_hopeless:
+            self._finish(now)
+
+    # ---- Restart ---------------------------------------------------------
+
+    def _restart_or_lose(self, part: Part, now: float) -> None:
+        newest = self.fanout.newest_map(self.pinned.service)
+        if (
+            newest is None
+            or newest.snapshot == self.pinned.snapshot
+            or self.restarts >= MAX_RESTARTS
+            or not self._may_send_extra()
+        ):
+            self._lose(part, now)
+            return
+        interval = check_range(newest, self.plan.low, self.plan.high)
+        if not isinstance(interval, tuple):
+            self._lose(part, now)
+            return
+        self._cancel_all(now)
+        self._pauses.clear()
+        self.restarts += 1
+        self.fanout.counts.restarts += 1
+        self.trace.add_event(f"restarted on snapshot {newest.snapshot}", now)
+        self.pinned = newest
+        self.low, self.high = interval
+        self.start()
+
+    # ---- Timer -----------------------------------------------------------
+
+    def _arm(self) -> None:
+        """Set the timer to the next hedge, retry or the answer, whichever comes first."""
+        if self.result.done():
+            return
+        at = min(self._answer_at, self._hedge_at)
+        for pause_end, _, _ in self._pauses:
+            at = min(at, pause_end)
+        if at == self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = at
+        self._timer = self.fanout.loop.call_at(at, self._on_timer)
+
+    def _on_timer(self) -> None:
+        now = self.fanout.loop.time()
+        self._timer_at = float("inf")
+        if now >= self._answer_at:
+            self._finish(now)
+            return
+        if now >= self._hedge_at:
+            self._hedge(now)
+        due = [pause for pause in self._pauses if pause[0] <= now]
+        self._pauses = [pause for pause in self._pauses if pause[0] > now]
+        for _, part, is_paid in due:
+            # A restart or the end of the query closes the parts of earlier rounds.
+            if part.is_open and not self.result.done():
+                self._send(part, now, explain.ELSEWHERE, is_paid)
+        self._arm()
+
+    def _find_hedge_delay(self, now: float) -> float:
+        policy = self.plan.policy
+        if self.fanout.is_baseline or not policy.repeatable or policy.extra_load_percent <= 0:
+            return float("inf")
+        delay = self.window.quantile(policy.hedge_quantile, now)
+        if delay is None:
+            return (self.plan.deadline - now) * FIRST_HEDGE_SHARE
+        return delay
+
+    def _hedge(self, now: float) -> None:
+        """Hedge the parts that are overdue, as far as the budget allows."""
+        next_at = float("inf")
+        may_send = self._may_send_extra()
+        for part in self.parts:
+            if not part.is_open or part.is_hedged or len(part.running) != 1:
+                continue
+            due_at = part.sent_at + self._hedge_after
+            if due_at > now:
+                next_at = min(next_at, due_at)
+            elif not may_send or not self._send_hedge(part, now):
+                next_at = min(next_at, now + max(self._hedge_after / 2, HEDGE_RECHECK_MIN_S))
+        self._hedge_at = next_at
+
+    def _send_hedge(self, part: Part, now: float) -> bool:
+        if not self.budget.take():
+            return False
+        route = self._choose(part, now)
+        if route is None:
+            self.budget.tokens += 1
+            return False
+        part.is_hedged = True
+        self.fanout.counts.hedges += 1
+        self._send_to(route, part, now, explain.HEDGE, True)
+        return True
+
+    # ---- End -------------------------------------------------------------
+
+    def _cancel_running(self, part: Part, now: float) -> None:
+        for attempt in part.running:
+            elapsed = now - attempt.sent_at
+            state = attempt.route.state
+            state.outstanding -= 1
+            state.record_at_least(elapsed, now)
+            # The loser was slower than this; without it the quantile, and with it the delay of
+            # the next hedge, would shrink with each hedge that wins.
+            self.window.record(elapsed)
+            self.trace.end_attempt(attempt.trace_index, pb.SUB_STATUS_CANCELLED, "lost", now)
+            attempt.link.cancel(attempt)
+            self.fanout.counts.cancels += 1
+        part.running.clear()
+
+    def _cancel_all(self, now: float) -> None:
+        for part in self.parts:
+            if part.running:
+                self.may_have_run = True
+                self._cancel_running(part, now)
+            part.is_open = False
+
+    def _finish(self, now: float) -> None:
+        """Cancel what still runs and give the answer with its actual coverage."""
+        if self.result.done():
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.open_parts:
+            self._cancel_all(now)
+        answered = [part for part in self.parts if part.answer]
+        missing = missing_intervals(
+            self.low,
+            self.high,
+            [(part.low, part.high) for part in answered],
+        )
+        coverage = coverage_share(self.low, self.high, missing)
+        reason, message = self._judge(coverage)
+        self.result.set_result(
+            QueryResult(
+                reason=reason,
+                message=message,
+                snapshot=self.pinned.snapshot,
+                coverage=coverage,
+                missing=missing,
+                bodies=[part.answer for part in answered],
+            )
+        )
+
+    def _judge(self, coverage: float) -> tuple[EntryReason | None, str]:
+        if not coverage and not self.may_have_run:
+            return EntryReason.OVERLOADED, "no target could take any part of the query"
+        if coverage < self.plan.min_coverage:
+            return (
+                EntryReason.COVERAGE_TOO_LOW,
+                f"coverage {coverage:.6g} is below {self.plan.min_coverage:g}",
+            )
+        return None, ""
+
+
+def answer_margin(duration: float) -> float:
+    """Return how long before the deadline the answer leaves, in seconds."""
+    margin = duration * ANSWER_MARGIN_SHARE
+    return min(max(margin, ANSWER_MARGIN_MIN_S), ANSWER_MARGIN_MAX_S)
+
+
+def make_json_check() -> Callable[[bytes], bool]:
+    """Return a function that tells whether bytes are one JSON value."""
+    decoder = msgspec.json.Decoder(msgspec.Raw)
+
+    def is_json(body: bytes) -> bool:
+        try:
+            decoder.decode(body)
+        except msgspec.DecodeError:
+            return False
+        return True
+
+    return is_json
+
+
+is_json = make_json_check()
--- /dev/null
+++ b/flamingostack/entry/link.py
@@ -0,0 +1,313 @@
+"""Links to dispatch processes: one long-lived stream for each, shared by all queries.
+
+Everything runs on one event loop and each link belongs to one task. `send` and `cancel` only add
+to the next batch and never call back, so a query may use them while it handles a reply.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterable
+from typing import Protocol
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from ..environment import Environment
+from ..generated import messages_pb2 as pb
+from ..generated.messages_grpc import DispatchStub
+from ..settings import split_address
+from ..state import PROTOCOL, FleetView
+from .replicas import Route
+
+RECONNECT_MIN_S = 0.05
+RECONNECT_MAX_S = 1.0
+MS_PER_S = 1000
+WATCHES_PER_SILENCE = 5
+
+NO_CONNECTION = "no_connection"
+LINK_LOST = "link_lost"
+
+
+class Receiver(Protocol):
+    """Gets the one reply of each of its attempts."""
+
+    def on_reply(self, attempt: Attempt, reply: pb.SubReply, now: float) -> None:
+        """Handle the reply; link failures arrive as replies with status NOT_RUN or FAILED."""
+
+
+class Attempt:
+    """One sub-request on its way; `id` is unique in this process, 0 until it is sent."""
+
+    __slots__ = ("id", "receiver", "part", "route", "link", "sent_at", "is_paid", "trace_index")
+
+    def __init__(
+        self,
+        receiver: Receiver,
+        route: Route,
+        part: object = None,
+        is_paid: bool = False,
+    ) -> None:
+        self.id = 0
+        self.receiver = receiver
+        self.part = part
+        self.route = route
+        self.link: Link | None = None
+        self.sent_at = 0.0
+        self.is_paid = is_paid
+        self.trace_index = 0
+
+
+class ProbeReceiver:
+    """Takes the reply of a probe; that it arrived is all that matters."""
+
+    def on_reply(self, attempt: Attempt, reply: pb.SubReply, now: float) -> None:
+        """Do nothing."""
+
+
+class Link:
+    """The stream to one dispatch process, connected again after each break.
+
+    A reply whose id is unknown or finished is dropped, so a late answer reaches nobody.
+    """
+
+    __slots__ = (
+        "address",
+        "environment",
+        "attempts_by_id",
+        "late_replies",
+        "breaks",
+        "_ids",
+        "_loop",
+        "_batch",
+        "_ready",
+        "_may_send",
+        "_heard_at",
+        "_busy_since",
+        "_probe",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        environment: Environment,
+        ids: itertools.count,
+    ) -> None:
+        self.address = address
+        self.environment = environment
+        self.attempts_by_id: dict[int, Attempt] = {}
+        self.late_replies = 0
+        self.breaks = 0
+        self._ids = ids
+        self._loop = asyncio.get_running_loop()
+        self._batch = self._make_batch()
+        self._ready = asyncio.Event()
+        # Until the first connection attempt has failed, sub-requests wait for it.
+        self._may_send = True
+        self._heard_at = 0.0
+        self._busy_since = 0.0
+        self._probe: Attempt | None = None
+
+    def send(self, attempt: Attempt, now: float, **fields: object) -> None:
+        """Add a sub-request to the next batch; `fields` are those of `SubRequest` but the id."""
+        attempt.link = self
+        attempt.sent_at = now
+        attempt.id = next(self._ids)
+        if not self.attempts_by_id:
+            self._busy_since = now
+        self.attempts_by_id[attempt.id] = attempt
+        if not self._may_send:
+            self._loop.call_soon(self._refuse, attempt)
+            return
+        self._batch.requests.add(id=attempt.id, **fields)
+        self._ready.set()
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Forget an attempt and cancel it at the dispatch process; no reply will be delivered."""
+        if self.attempts_by_id.pop(attempt.id, None) is not None and self._may_send:
+            self._batch.cancels.append(attempt.id)
+            self._ready.set()
+
+    async def run(self) -> None:
+        """Keep the stream connected until cancelled."""
+        delay = RECONNECT_MIN_S
+        try:
+            while True:
+                connected_at = self._loop.time()
+                reason = await self._serve()
+                self._break(reason)
+                if self._loop.time() - connected_at > RECONNECT_MAX_S:
+                    delay = RECONNECT_MIN_S
+                await asyncio.sleep(delay)
+                delay = min(delay * 2, RECONNECT_MAX_S)
+        finally:
+            self._break("closed")
+
+    async def _serve(self) -> str:
+        host, port = split_address(self.environment.connect_address(self.address))
+        channel = Channel(host, port)
+        try:
+            async with DispatchStub(channel).Exchange.open() as stream:
+                timeout_ms = self.environment.settings.dispatch.connect_timeout_ms
+                async with asyncio.timeout(timeout_ms / MS_PER_S):
+                    await stream.send_request()
+                self._may_send = True
+                self._heard_at = self._loop.time()
+                return await self._exchange(stream, channel)
+        except (TimeoutError, OSError, GRPCError, StreamTerminatedError) as error:
+            return repr(error)
+        finally:
+            channel.close()
+
+    async def _exchange(self, stream, channel: Channel) -> str:
+        tasks = [
+            asyncio.create_task(self._read(stream)),
+            asyncio.create_task(self._write(stream)),
+            asyncio.create_task(self._watch()),
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            error = next(iter(done)).exception()
+            return repr(error) if error else "the stream ended or went silent"
+        finally:
+            # The queries go elsewhere before the connection is tidied up, which may take long
+            # if its peer is silent.
+            self._break(LINK_LOST)
+            channel.close()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _read(self, stream) -> None:
+        async for batch in stream:
+            now = self._heard_at = self._loop.time()
+            for reply in batch.replies:
+                attempt = self.attempts_by_id.pop(reply.id, None)
+                if attempt is None:
+                    self.late_replies += 1
+                else:
+                    self._deliver(attempt, reply, now)
+
+    async def _write(self, stream) -> None:
+        while True:
+            await self._ready.wait()
+            self._ready.clear()
+            batch, self._batch = self._batch, self._make_batch()
+            await stream.send_message(batch)
+
+    async def _watch(self) -> None:
+        """Return when sub-requests wait and nothing arrives, not even the answer to a probe.
+
+        Slow targets alone keep a stream quiet, too. So after half of the time a probe is sent, a
+        sub-request for no target, which dispatch refuses at once.
+        """
+        silent_after_s = self.environment.settings.dispatch.silent_after_ms / MS_PER_S
+        pause_s = silent_after_s / WATCHES_PER_SILENCE
+        watched_at = self._loop.time()
+        while True:
+            await asyncio.sleep(pause_s)
+            now = self._loop.time()
+            if now - watched_at > 2 * pause_s:
+                # This process did not run for a while; replies may wait to be read.
+                self._heard_at = now
+            watched_at = now
+            quiet_s = now - max(self._heard_at, self._busy_since)
+            if not self.attempts_by_id or quiet_s < silent_after_s / 2:
+                self._probe = None
+            elif quiet_s > silent_after_s:
+                return
+            elif self._probe is None:
+                self._send_probe(now, silent_after_s)
+
+    def _send_probe(self, now: float, silent_after_s: float) -> None:
+        self._probe = Attempt(ProbeReceiver(), route=None)
+        self.send(self._probe, now, deadline_ms=int(silent_after_s * MS_PER_S))
+
+    def _break(self, reason: str) -> None:
+        """Fail everything in flight; what was not handed to the stream did not run."""
+        if self._may_send:
+            self.breaks += 1
+            self.environment.log.warning(
+                "dispatch_link_lost",
+                address=self.address,
+                reason=reason,
+                in_flight=len(self.attempts_by_id),
+            )
+        was_down = not self._may_send
+        self._may_send = False
+        unsent = {request.id for request in self._batch.requests}
+        self._batch = self._make_batch()
+        self._ready.clear()
+        attempts, self.attempts_by_id = self.attempts_by_id, {}
+        for attempt in attempts.values():
+            if was_down or attempt.id in unsent:
+                self._fail(attempt, pb.SUB_STATUS_NOT_RUN, NO_CONNECTION)
+            else:
+                self._fail(attempt, pb.SUB_STATUS_FAILED, LINK_LOST)
+
+    def _refuse(self, attempt: Attempt) -> None:
+        if self.attempts_by_id.pop(attempt.id, None) is not None:
+            self._fail(attempt, pb.SUB_STATUS_NOT_RUN, NO_CONNECTION)
+
+    def _fail(self, attempt: Attempt, status: int, reason: str) -> None:
+        reply = pb.SubReply(id=attempt.id, status=status, reason=reason)
+        self._deliver(attempt, reply, self._loop.time())
+
+    def _deliver(self, attempt: Attempt, reply: pb.SubReply, now: float) -> None:
+        try:
+            attempt.receiver.on_reply(attempt, reply, now)
+        except Exception:
+            # One query's fault must not end the stream that all queries share.
+            self.environment.log.exception("reply_not_handled", address=self.address)
+
+    def _make_batch(self) -> pb.EntryBatch:
+        return pb.EntryBatch(protocol=PROTOCOL, sender=self.environment.incarnation)
+
+
+class Links:
+    """All links of this process, by the advertised address of the dispatch process."""
+
+    __slots__ = ("environment", "links_by_address", "_tasks_by_address", "_ids")
+
+    def __init__(self, environment: Environment) -> None:
+        self.environment = environment
+        self.links_by_address: dict[str, Link] = {}
+        self._tasks_by_address: dict[str, asyncio.Task] = {}
+        self._ids = itertools.count(1)
+
+    def get(self, address: str) -> Link:
+        """Return the link to an address; it starts to connect at the first call."""
+        link = self.links_by_address.get(address)
+        if link is None:
+            link = Link(address, self.environment, self._ids)
+            self.links_by_address[address] = link
+            self._tasks_by_address[address] = asyncio.create_task(link.run())
+        return link
+
+    def apply(self, view: FleetView) -> None:
+        """Connect to the owners of a view, and close idle links to processes that left."""
+        owners = set(self._owner_addresses(view))
+        for address in owners:
+            self.get(address)
+        known = owners.union(
+            *(member.dispatch_addresses for member in view.members_by_incarnation.values())
+        )
+        for address, link in list(self.links_by_address.items()):
+            if address not in known and not link.attempts_by_id:
+                self._tasks_by_address.pop(address).cancel()
+                del self.links_by_address[address]
+
+    async def close(self) -> None:
+        """Close all links."""
+        tasks = list(self._tasks_by_address.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.links_by_address.clear()
+        self._tasks_by_address.clear()
+
+    @staticmethod
+    def _owner_addresses(view: FleetView) -> Iterable[str]:
+        for partition in view.partitions_by_number.values():
+            yield from partition.holder.dispatch_addresses
--- /dev/null
+++ b/flamingostack/entry/requests.py
@@ -0,0 +1,70 @@
+"""Callers' requests: decoding and checks that need no fleet state."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from ..errors import Failure, make_failure
+from ..strict import StrictStruct
+from .refusals import EntryReason
+
+MAX_IDEMPOTENCY_KEY = 256
+
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class QueryRequest(StrictStruct):
+    """Body of `POST /v1/query`."""
+
+    request_class: Name = msgspec.field(name="class")
+    tenant: Name
+    query: msgspec.Raw
+    low: int | None = None
+    high: int | None = None
+    deadline_ms: float | None = None
+    min_coverage: Share | None = None
+
+
+class SubmitRequest(StrictStruct):
+    """Body of `POST /v1/submit`; `key` is the position in the keyspace."""
+
+    request_class: Name = msgspec.field(name="class")
+    tenant: Name
+    key: int
+    body: msgspec.Raw
+    deadline_ms: float | None = None
+
+
+QUERY_DECODER = msgspec.json.Decoder(QueryRequest)
+SUBMIT_DECODER = msgspec.json.Decoder(SubmitRequest)
+
+
+def decode_query(body: bytes) -> QueryRequest | Failure[EntryReason]:
+    """Decode a query; the failure's message names the key's path."""
+    return _decode(QUERY_DECODER, body)
+
+
+def decode_submit(body: bytes) -> SubmitRequest | Failure[EntryReason]:
+    """Decode a submit; the failure's message names the key's path."""
+    return _decode(SUBMIT_DECODER, body)
+
+
+def check_idempotency_key(key: str | None) -> Failure[EntryReason] | None:
+    """Return why an Idempotency-Key header cannot be used."""
+    if key and len(key) <= MAX_IDEMPOTENCY_KEY:
+        return None
+    return make_failure(
+        EntryReason.MALFORMED,
+        f"the Idempotency-Key header must have 1 to {MAX_IDEMPOTENCY_KEY} characters",
+    )
+
+
+def _decode(decoder: msgspec.json.Decoder, body: bytes):
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return make_failure(EntryReason.MALFORMED, str(error))
--- /dev/null
+++ b/flamingostack/entry/server.py
@@ -0,0 +1,451 @@
+"""The callers' HTTP API."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import msgspec
+from aiohttp import web
+
+from ..environment import Environment
+from ..errors import Failure, make_failure
+from ..generated.preset import ClassPolicy, Preset
+from ..metrics import Metrics
+from ..settings import split_address
+from ..state import StateFeed
+from .explain import Trace, Traces
+from .fanout import Fanout, QueryPlan, QueryResult, answer_margin
+from .once import Once, OnceAnswer, StoreClient, make_body_hash, make_record_key
+from .plan import PinnedMap, check_range
+from .refusals import RAN, EntryReason
+from .requests import (
+    QueryRequest,
+    SubmitRequest,
+    check_idempotency_key,
+    decode_query,
+    decode_submit,
+)
+from .shutdown import Phase, Shutdown
+from .single import SingleSend
+
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+IDEMPOTENCY_KEY = "Idempotency-Key"
+JSON = "application/json"
+ENCODER = msgspec.json.Encoder()
+
+
+class Admission:
+    """A request that passed the checks: its preset, policy, map and deadline."""
+
+    __slots__ = ("preset", "policy", "pinned", "deadline")
+
+    def __init__(
+        self,
+        preset: Preset,
+        policy: ClassPolicy,
+        pinned: PinnedMap,
+        deadline: float,
+    ) -> None:
+        self.preset = preset
+        self.policy = policy
+        self.pinned = pinned
+        self.deadline = deadline
+
+
+class EntryServer:
+    """Serves callers; one event loop owns it and all that it holds."""
+
+    def __init__(self, environment: Environment, feed: StateFeed, store: StoreClient) -> None:
+        self.environment = environment
+        self.feed = feed
+        self.metrics = Metrics()
+        self.shutdown = Shutdown()
+        self.fanout = Fanout(environment, feed)
+        self.once = Once(environment, store)
+        self.traces = Traces(environment.settings.entry.explain_entries)
+        self._loop = asyncio.get_running_loop()
+        self._numbers = itertools.count(1)
+        self._counted: dict[str, int] = {}
+        self._runner = web.AppRunner(self._make_app(), access_log=None)
+        self._site: web.TCPSite | None = None
+        self._subscription = feed.views.subscribe(self.fanout.apply)
+        self._set_gauges()
+
+    async def start(self) -> None:
+        """Listen for callers; raises OSError if the address cannot be used."""
+        await self._runner.setup()
+        host, port = split_address(self.environment.settings.entry.listen)
+        self._site = web.TCPSite(self._runner, host, port)
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Shut down gracefully: notice, finish what runs, settle records, close."""
+        self.shutdown.phase = Phase.NOTICE
+        self.feed.report_shutdown(finished=False)
+        await asyncio.sleep(self.environment.settings.entry.drain_notice_ms / MS_PER_S)
+        self.shutdown.phase = Phase.FINISHING
+        if self._site is not None:
+            await self._site.stop()
+        await self.shutdown.idle()
+        unsettled = await self.once.settle()
+        if unsettled:
+            self.environment.log.error("shutdown_with_unsettled_records", count=unsettled)
+        await self._runner.cleanup()
+        self._subscription.dispose()
+        await self.fanout.links.close()
+
+    # ---- Handlers --------------------------------------------------------
+
+    def _make_app(self) -> web.Application:
+        app = web.Application(
+            client_max_size=self.environment.settings.entry.max_body_bytes,
+            middlewares=[self._catch],
+        )
+        app.router.add_post("/v1/query", self._query)
+        app.router.add_post("/v1/submit", self._submit)
+        app.router.add_get("/v1/explain/{request_id}", self._explain)
+        app.router.add_get("/ready", self._ready)
+        app.router.add_get("/live", self._live)
+        app.router.add_get("/metrics", self._metrics)
+        return app
+
+    @web.middleware
+    async def _catch(self, request: web.Request, handler) -> web.StreamResponse:
+        """Turn what aiohttp raises into the API's errors."""
+        try:
+            return await handler(request)
+        except web.HTTPRequestEntityTooLarge:
+            limit = self.environment.settings.entry.max_body_bytes
+            failure = make_failure(EntryReason.TOO_LARGE, f"the body is over {limit} bytes")
+            return self._refuse(failure, self._next_id())
+        except web.HTTPException as error:
+            failure = make_failure(EntryReason.MALFORMED, f"{request.path}: {error.reason}")
+            return self._refuse(failure, self._next_id(), status=error.status)
+        except Exception:
+            request_id = self._next_id()
+            self.environment.log.exception("request_failed", request_id=request_id)
+            failure = make_failure(EntryReason.INTERNAL, "internal error, see the log")
+            return self._refuse(failure, request_id)
+
+    async def _query(self, request: web.Request) -> web.Response:
+        started = self._loop.time()
+        request_id = self._next_id()
+        body = await request.read()
+        asked = decode_query(body)
+        if isinstance(asked, Failure):
+            return self._refuse(asked, request_id)
+        admission = self._admit(asked, started)
+        if isinstance(admission, Failure):
+            return self._refuse(admission, request_id, asked.request_class)
+        interval = check_range(admission.pinned, asked.low, asked.high)
+        if isinstance(interval, Failure):
+            return self._refuse(interval, request_id, asked.request_class)
+        if not admission.pinned.split(*interval):
+            failure = make_failure(EntryReason.UNKNOWN_RANGE, "no target serves the range")
+            return self._refuse(failure, request_id, asked.request_class)
+        self.shutdown.begin()
+        try:
+            return await self._run_query(asked, admission, interval, request_id, started)
+        finally:
+            self.shutdown.end()
+
+    async def _run_query(
+        self,
+        asked: QueryRequest,
+        admission: Admission,
+        interval: tuple[int, int],
+        request_id: str,
+        started: float,
+    ) -> web.Response:
+        trace = self._make_trace(asked, admission, request_id, started)
+        min_coverage = asked.min_coverage
+        if min_coverage is None:
+            min_coverage = admission.policy.min_coverage
+        plan = QueryPlan(
+            request_id=request_id,
+            request_class=asked.request_class,
+            policy=admission.policy,
+            foreign_penalty_s=admission.preset.limits.foreign_domain_penalty_ms / MS_PER_S,
+            payload=bytes(asked.query),
+            low=asked.low,
+            high=asked.high,
+            deadline=admission.deadline,
+            min_coverage=min_coverage,
+        )
+        result = await self.fanout.start_query(plan, admission.pinned, interval, trace)
+        code = result.reason.code if result.reason else "ok"
+        elapsed = self._end_trace(trace, code, "flamingostack_query_seconds")
+        if result.reason is not None:
+            failure = make_failure(result.reason, result.message)
+            return self._refuse(failure, request_id, asked.request_class)
+        return self._answer_query(result, admission, request_id, elapsed)
+
+    def _answer_query(
+        self,
+        result: QueryResult,
+        admission: Admission,
+        request_id: str,
+        elapsed: float,
+    ) -> web.Response:
+        return self._respond(
+            {
+                "request_id": request_id,
+                "snapshot": result.snapshot,
+                "coverage": result.coverage,
+                "missing": result.missing,
+                "parts": [msgspec.Raw(body) for body in result.bodies],
+                "preset": admission.preset.name,
+                "elapsed_ms": round(elapsed * MS_PER_S, 3),
+            }
+        )
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        started = self._loop.time()
+        request_id = self._next_id()
+        body = await request.read()
+        asked = decode_submit(body)
+        if isinstance(asked, Failure):
+            return self._refuse(asked, request_id)
+        idempotency_key = request.headers.get(IDEMPOTENCY_KEY)
+        problem = check_idempotency_key(idempotency_key)
+        if problem is not None:
+            return self._refuse(problem, request_id, asked.request_class)
+        admission = self._admit(asked, started)
+        if isinstance(admission, Failure):
+            return self._refuse(admission, request_id, asked.request_class)
+        self.shutdown.begin()
+        try:
+            return await self._run_submit(asked, admission, idempotency_key, request_id, started)
+        finally:
+            self.shutdown.end()
+
+    async def _run_submit(
+        self,
+        asked: SubmitRequest,
+        admission: Admission,
+        idempotency_key: str,
+        request_id: str,
+        started: float,
+    ) -> web.Response:
+        items = admission.pinned.split(asked.key, asked.key + 1) if asked.key >= 0 else []
+        if not items:
+            failure = make_failure(
+                EntryReason.UNKNOWN_RANGE,
+                f"no target serves key {asked.key} of {admission.pinned.service}",
+            )
+            return self._refuse(failure, request_id, asked.request_class)
+        trace = self._make_trace(asked, admission, request_id, started)
+        record_key = make_record_key(asked.tenant, asked.request_class, idempotency_key)
+        single = SingleSend(
+            fanout=self.fanout,
+            plan=QueryPlan(
+                request_id=request_id,
+                request_class=asked.request_class,
+                policy=admission.policy,
+                foreign_penalty_s=admission.preset.limits.foreign_domain_penalty_ms / MS_PER_S,
+                payload=bytes(asked.body),
+                low=asked.key,
+                high=asked.key + 1,
+                deadline=admission.deadline,
+                min_coverage=0,
+            ),
+            pinned=admission.pinned,
+            item=items[0],
+            once_key=record_key,
+            trace=trace,
+        )
+        answer = await self.once.submit(
+            key=record_key,
+            body_hash=make_body_hash(asked.key, bytes(asked.body)),
+            answer_at=admission.deadline - answer_margin(admission.deadline - started),
+            send=single.send,
+        )
+        elapsed = self._end_trace(
+            trace,
+            answer.reason.code if answer.reason else "ok",
+            "flamingostack_submit_seconds",
+        )
+        return self._answer_submit(answer, admission, asked, request_id, elapsed)
+
+    def _answer_submit(
+        self,
+        answer: OnceAnswer,
+        admission: Admission,
+        asked: SubmitRequest,
+        request_id: str,
+        elapsed: float,
+    ) -> web.Response:
+        if answer.reason is not None:
+            failure = make_failure(answer.reason, answer.message)
+            return self._refuse(failure, request_id, asked.request_class)
+        return self._respond(
+            {
+                "request_id": request_id,
+                "ran": RAN,
+                "outcome": msgspec.Raw(answer.body),
+                "recorded_earlier": answer.is_repeated,
+                "preset": admission.preset.name,
+                "elapsed_ms": round(elapsed * MS_PER_S, 3),
+            }
+        )
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        request_id = request.match_info["request_id"]
+        trace = self.traces.find(request_id)
+        if trace is None:
+            failure = make_failure(
+                EntryReason.UNKNOWN_REQUEST,
+                "this entry process keeps no trace of the request",
+            )
+            return self._refuse(failure, request_id)
+        return self._respond(trace.render())
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        reasons = self.unready_reasons()
+        return self._respond({"ready": not reasons, "reasons": reasons}, 503 if reasons else 200)
+
+    async def _live(self, _request: web.Request) -> web.Response:
+        return self._respond({"live": True})
+
+    async def _metrics(self, _request: web.Request) -> web.Response:
+        self._count_changes()
+        return web.Response(text=self.metrics.render(), content_type="text/plain")
+
+    # ---- Checks ----------------------------------------------------------
+
+    def unready_reasons(self) -> list[str]:
+        """Return why the load balancer must send nothing here; empty if it may."""
+        view = self.feed.view
+        reasons = {
+            "shutting_down": self.shutdown.phase is not Phase.SERVING,
+            "not_current": not self.feed.is_current(),
+            "no_preset": view.preset is None,
+            "leaving": view.leaving
+            or self.environment.settings.instance.failure_domain in view.leaving_failure_domains,
+        }
+        return [reason for reason, applies in reasons.items() if applies]
+
+    def _admit(
+        self,
+        asked: QueryRequest | SubmitRequest,
+        started: float,
+    ) -> Admission | Failure[EntryReason]:
+        """Check a request against the state of the process and the preset in force."""
+        if self.shutdown.phase is Phase.FINISHING:
+            return make_failure(EntryReason.SHUTTING_DOWN, "the process is shutting down")
+        if not self.feed.is_current():
+            return make_failure(EntryReason.NOT_CURRENT, "the state lease has expired")
+        view = self.feed.view
+        if view.preset is None:
+            return make_failure(EntryReason.NOT_CURRENT, "no preset is in force")
+        policy = view.preset.classes.get(asked.request_class)
+        if policy is None:
+            return make_failure(
+                EntryReason.UNKNOWN_CLASS,
+                f"preset {view.preset.name} has no class {asked.request_class}",
+            )
+        deadline_ms = policy.deadline_ms if asked.deadline_ms is None else asked.deadline_ms
+        deadline = started + min(deadline_ms, self._max_request_ms()) / MS_PER_S
+        if deadline_ms <= 0 or deadline <= self._loop.time():
+            return make_failure(EntryReason.DEADLINE_EXPIRED, "the deadline has passed")
+        if self.shutdown.running >= self.environment.settings.entry.max_in_flight:
+            return make_failure(EntryReason.OVERLOADED, "too many requests in flight")
+        pinned = self.fanout.newest_map(policy.service)
+        if pinned is None:
+            return make_failure(EntryReason.UNKNOWN_RANGE, f"no map of {policy.service} is known")
+        return Admission(view.preset, policy, pinned, deadline)
+
+    def _max_request_ms(self) -> int:
+        return self.environment.settings.fleet.max_request_ms
+
+    # ---- Answers, traces, metrics ----------------------------------------
+
+    def _next_id(self) -> str:
+        return f"{self.environment.incarnation}-{next(self._numbers):x}"
+
+    def _respond(self, value: dict, status: int = 200) -> web.Response:
+        response = web.Response(body=ENCODER.encode(value), status=status, content_type=JSON)
+        if self.shutdown.phase is not Phase.SERVING:
+            response.force_close()
+        return response
+
+    def _refuse(
+        self,
+        failure: Failure[EntryReason],
+        request_id: str,
+        request_class: str = "",
+        status: int = 0,
+    ) -> web.Response:
+        reason = failure.reason
+        self.metrics.count(
+            "flamingostack_refusals_total",
+            code=reason.code,
+            request_class=self._known_class(request_class),
+        )
+        value = {
+            "code": reason.code,
+            "message": failure.message,
+            "ran": reason.ran,
+            "request_id": request_id,
+        }
+        return self._respond(value, status or reason.status)
+
+    def _known_class(self, request_class: str) -> str:
+        """Return the class if the preset has it: callers must not make up label values."""
+        preset = self.feed.view.preset
+        return request_class if preset and request_class in preset.classes else ""
+
+    def _make_trace(
+        self,
+        asked: QueryRequest | SubmitRequest,
+        admission: Admission,
+        request_id: str,
+        started: float,
+    ) -> Trace:
+        trace = Trace(
+            request_id=request_id,
+            tenant=asked.tenant,
+            request_class=asked.request_class,
+            service=admission.pinned.service,
+            preset=admission.preset.name,
+            started=started,
+        )
+        trace.add_event(f"pinned snapshot {admission.pinned.snapshot}", started)
+        self.traces.add(trace)
+        return trace
+
+    def _end_trace(self, trace: Trace, code: str, metric: str) -> float:
+        now = self._loop.time()
+        trace.end(code, now)
+        self.metrics.record_us(
+            metric,
+            int(trace.elapsed * US_PER_S),
+            tenant=trace.tenant,
+            request_class=trace.request_class,
+        )
+        return trace.elapsed
+
+    def _set_gauges(self) -> None:
+        gauges = {
+            "flamingostack_requests_in_flight": lambda: self.shutdown.running,
+            "flamingostack_unsettled_submits": lambda: self.once.unsettled,
+            "flamingostack_dispatch_links": lambda: len(self.fanout.links.links_by_address),
+            "flamingostack_ready": lambda: not self.unready_reasons(),
+            "flamingostack_document_version": lambda: self.feed.view.document.version,
+        }
+        for name, read in gauges.items():
+            self.metrics.set_gauge(name, read)
+
+    def _count_changes(self) -> None:
+        """Bring the counters of the hot path, plain integers, into the metrics."""
+        counts = self.fanout.counts
+        values = {name: getattr(counts, name) for name in counts.__slots__}
+        links = self.fanout.links.links_by_address.values()
+        values["late_replies"] = sum(link.late_replies for link in links)
+        values["link_breaks"] = sum(link.breaks for link in links)
+        for name, value in values.items():
+            grown = max(value - self._counted.get(name, 0), 0)
+            self._counted[name] = value
+            self.metrics.count(f"flamingostack_sub_request_{name}_total", grown)
--- /dev/null
+++ b/flamingostack/entry/single.py
@@ -0,0 +1,172 @@
+"""A sub-request that must not be repeated: one replica at a time, another only after NOT_RUN."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+from ..generated import messages_pb2 as pb
+from . import explain
+from .explain import Trace
+from .fanout import MS_PER_S, QUEUE_FULL, REFUSAL_PAUSES_S, Fanout, QueryPlan, is_json
+from .link import Attempt
+from .plan import PinnedMap, PinnedRange
+from .refusals import EntryReason
+from .replicas import AVOID_AFTER_FAILURE_S, AVOID_AFTER_REFUSAL_S, Route
+
+# How long after the deadline an answer is still waited for, so that its outcome gets recorded.
+LATE_ANSWER_S = 5.0
+
+
+class SendKind(enum.Enum):
+    """What became of a request."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class SendOutcome:
+    """What became of a request, with the target's answer or the reason why it did not run."""
+
+    __slots__ = ("kind", "body", "reason", "message")
+
+    def __init__(
+        self,
+        kind: SendKind,
+        body: bytes = b"",
+        reason: EntryReason = EntryReason.OVERLOADED,
+        message: str = "",
+    ) -> None:
+        self.kind = kind
+        self.body = body
+        self.reason = reason
+        self.message = message
+
+
+class SingleSend:
+    """Sends one request; a receiver of the link."""
+
+    __slots__ = (
+        "fanout",
+        "plan",
+        "pinned",
+        "low",
+        "high",
+        "targets",
+        "once_key",
+        "trace",
+        "_reply",
+    )
+
+    def __init__(
+        self,
+        fanout: Fanout,
+        plan: QueryPlan,
+        pinned: PinnedMap,
+        item: PinnedRange,
+        once_key: str,
+        trace: Trace,
+    ) -> None:
+        self.fanout = fanout
+        self.plan = plan
+        self.pinned = pinned
+        self.low, self.high, self.targets = item
+        self.once_key = once_key
+        self.trace = trace
+        self._reply: asyncio.Future[pb.SubReply] | None = None
+
+    async def send(self) -> SendOutcome:
+        """Send to one replica after the other until one does not answer NOT_RUN."""
+        pauses = iter(REFUSAL_PAUSES_S)
+        tried: list[str] = []
+        message = "no replica of the key can be reached"
+        while True:
+            now = self.fanout.loop.time()
+            if now >= self.plan.deadline:
+                return not_run(EntryReason.DEADLINE_EXPIRED, f"deadline passed: {message}")
+            if not self.fanout.feed.is_current():
+                return not_run(EntryReason.NOT_CURRENT, "the state lease has expired")
+            route = self._choose(tried, now)
+            if route is None:
+                pause = next(pauses, None)
+                if pause is None or self.fanout.is_baseline:
+                    return not_run(EntryReason.OVERLOADED, message)
+                await asyncio.sleep(pause)
+                tried.clear()
+                continue
+            tried.append(route.target_id)
+            reply = await self._send_to(route, now)
+            if reply.status != pb.SUB_STATUS_NOT_RUN:
+                return classify_reply(reply)
+            message = f"target {route.target_id}: {reply.reason}"
+            route.state.avoid_until = now + AVOID_AFTER_REFUSAL_S
+            if self.fanout.is_baseline or reply.reason == QUEUE_FULL:
+                pauses = iter(())
+
+    def on_reply(self, attempt: Attempt, reply: pb.SubReply, now: float) -> None:
+        """Take the reply of the running attempt."""
+        state = attempt.route.state
+        state.outstanding -= 1
+        if reply.status == pb.SUB_STATUS_OK:
+            state.record_latency(now - attempt.sent_at, now)
+        elif reply.status != pb.SUB_STATUS_NOT_RUN:
+            state.avoid_until = now + AVOID_AFTER_FAILURE_S
+        if reply.limit:
+            state.record_report(reply, now)
+        self.trace.end_attempt(attempt.trace_index, reply.status, reply.reason, now)
+        if not self._reply.done():
+            self._reply.set_result(reply)
+
+    def _choose(self, tried: list[str], now: float) -> Route | None:
+        replicas = self.fanout.replicas
+        if self.fanout.is_baseline:
+            return None if tried else replicas.choose_random(self.targets)
+        return replicas.choose(self.targets, tried, now, self.plan.foreign_penalty_s)
+
+    async def _send_to(self, route: Route, now: float) -> pb.SubReply:
+        self._reply = self.fanout.loop.create_future()
+        attempt = Attempt(self, route)
+        route.state.outstanding += 1
+        attempt.trace_index = self.trace.add_attempt(
+            route.target_id, route.instance, self.low, self.high, explain.SUBMIT, now
+        )
+        link = self.fanout.links.get(route.address)
+        link.send(
+            attempt,
+            now,
+            request_id=self.plan.request_id,
+            service=self.pinned.service,
+            target=route.target_id,
+            snapshot=self.pinned.snapshot,
+            low=self.low,
+            high=self.high,
+            deadline_ms=max(int((self.plan.deadline - now) * MS_PER_S), 1),
+            request_class=self.plan.request_class,
+            payload=self.plan.payload,
+            once_key=self.once_key,
+        )
+        try:
+            async with asyncio.timeout_at(self.plan.deadline + LATE_ANSWER_S):
+                return await self._reply
+        except TimeoutError:
+            link.cancel(attempt)
+            route.state.outstanding -= 1
+            return pb.SubReply(status=pb.SUB_STATUS_FAILED, reason="no_answer")
+
+
+def not_run(reason: EntryReason, message: str) -> SendOutcome:
+    """Return the outcome of a request that did not run."""
+    return SendOutcome(SendKind.NOT_RUN, reason=reason, message=message)
+
+
+def classify_reply(reply: pb.SubReply) -> SendOutcome:
+    """Turn a reply into an outcome; what cannot be told apart is unknown."""
+    match reply.status:
+        case pb.SUB_STATUS_OK if is_json(reply.body):
+            return SendOutcome(SendKind.RAN, body=reply.body)
+        case pb.SUB_STATUS_TARGET_SHED | pb.SUB_STATUS_SNAPSHOT_MISSING:
+            # The target refused: it did not run, but it was sent, so no other replica is tried.
+            return not_run(EntryReason.OVERLOADED, f"the target refused it: {reply.reason}")
+        case _:
+            return SendOutcome(SendKind.UNKNOWN, message=reply.reason)
