Add the dispatch process

Cause: entry processes need one owner for each target that queues, limits and sends their sub-requests.

--- /dev/null
+++ b/flamingostack/dispatch/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the dispatch process with `python -m flamingostack.dispatch`."""
+
+from .main import run
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/flamingostack/dispatch/main.py
@@ -0,0 +1,174 @@
+"""The dispatch process: start, signals, graceful shutdown."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+from aiohttp import web
+from grpclib.server import Server
+
+from ..clock import NS_PER_MS
+from ..environment import Environment, make_environment
+from ..errors import Failure
+from ..settings import load_settings, split_address
+from ..state import StateFeed
+from ..status import ExitStatus
+from .ownership import Ownership
+from .recorder import Recorder
+from .service import DispatchService
+
+# How soon a lease that runs out during shutdown is noticed.
+POLL_S = 0.05
+# Time for the last report and the last replies to leave the process.
+FLUSH_S = 1.0
+REPORT_FLUSH_S = 0.2
+
+
+class Dispatch:
+    """All parts of one dispatch process."""
+
+    __slots__ = (
+        "environment",
+        "feed",
+        "recorder",
+        "ownership",
+        "service",
+        "_server",
+        "_status_runner",
+        "_follower",
+        "_subscription",
+    )
+
+    def __init__(self, environment: Environment) -> None:
+        self.environment = environment
+        self.feed = StateFeed(environment, process="dispatch")
+        self.recorder = Recorder(environment.settings.entry.explain_entries)
+        self.ownership = Ownership(environment, self.feed, self.recorder)
+        self.service = DispatchService(self.ownership)
+        self._server = Server([self.service])
+        self._status_runner: web.AppRunner | None = None
+        self._follower: asyncio.Task | None = None
+        self._subscription = None
+
+    async def start(self) -> None:
+        """Follow control and listen; raises OSError if an address is taken."""
+        settings = self.environment.settings.dispatch
+        self._subscription = self.feed.views.subscribe(self.ownership.apply)
+        await self._server.start(*split_address(settings.listen))
+        if settings.status_listen:
+            await self._start_status(settings.status_listen)
+        self._follower = asyncio.create_task(self.feed.run())
+        self.environment.log.info("listening", address=settings.listen)
+
+    async def _start_status(self, address: str) -> None:
+        app = web.Application()
+        app.router.add_get("/metrics", self._serve_metrics)
+        app.router.add_get("/explain/{request_id}", self._serve_explain)
+        self._add_gauges()
+        self._status_runner = web.AppRunner(app, access_log=None)
+        await self._status_runner.setup()
+        await web.TCPSite(self._status_runner, *split_address(address)).start()
+
+    def _add_gauges(self) -> None:
+        metrics = self.recorder.metrics
+        ownership = self.ownership
+        metrics.set_gauge("flamingostack_dispatch_in_flight", lambda: ownership.in_flight)
+        metrics.set_gauge("flamingostack_dispatch_queue_length", lambda: ownership.queue_length)
+        metrics.set_gauge("flamingostack_dispatch_targets", lambda: ownership.target_count)
+        metrics.set_gauge("flamingostack_dispatch_lease_current", self.feed.is_current)
+
+    async def _serve_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(text=self.recorder.render())
+
+    async def _serve_explain(self, request: web.Request) -> web.Response:
+        traces = self.recorder.find_traces(request.match_info["request_id"])
+        if not traces:
+            return web.json_response({"code": "unknown_request"}, status=404)
+        return web.json_response({"sub_requests": traces})
+
+    async def shut_down(self) -> None:
+        """Serve until the grants are withdrawn, answer everything, then stop."""
+        settings = self.environment.settings
+        log = self.environment.log
+        log.info("shutting_down")
+        self.feed.report_shutdown(finished=False)
+        await self._wait_withdrawn(settings.control.shutdown_ms)
+        self.ownership.stop_accepting()
+        longest_ms = settings.fleet.max_request_ms + settings.dispatch.silent_after_ms
+        is_finished = await self.ownership.wait_finished(longest_ms / 1000 + FLUSH_S)
+        if not is_finished:
+            log.warning("requests_interrupted", in_flight=self.ownership.in_flight)
+        await self.service.wait_sent(FLUSH_S)
+        self.feed.report_shutdown(finished=True)
+        await asyncio.sleep(REPORT_FLUSH_S)
+        await self._stop()
+        log.info("stopped")
+
+    async def _wait_withdrawn(self, shutdown_ms: int) -> None:
+        """Wait until no partition is granted, the lease has expired, or the time is over.
+
+        Without a lease nothing new is sent and nobody may be there to withdraw the grants.
+        """
+        changed = asyncio.Event()
+        subscription = self.feed.views.subscribe(lambda view: changed.set())
+        end_ns = self.environment.now_ns() + shutdown_ms * NS_PER_MS
+        while (
+            self.feed.view.grants_by_partition
+            and self.feed.is_current()
+            and self.environment.now_ns() < end_ns
+        ):
+            changed.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), POLL_S)
+        subscription.dispose()
+
+    async def _stop(self) -> None:
+        self._subscription.dispose()
+        self._follower.cancel()
+        if self._status_runner is not None:
+            await self._status_runner.cleanup()
+        self._server.close()
+        try:
+            await asyncio.wait_for(self._server.wait_closed(), FLUSH_S)
+        except TimeoutError:
+            self.environment.log.warning("streams_not_closed")
+
+
+async def serve(environment: Environment) -> ExitStatus:
+    """Run the process until SIGTERM or SIGINT and its graceful shutdown."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    dispatch = Dispatch(environment)
+    try:
+        await dispatch.start()
+    except OSError as error:
+        environment.log.error("cannot_listen", reason=str(error))
+        return ExitStatus.UNAVAILABLE
+    await stop.wait()
+    await dispatch.shut_down()
+    return ExitStatus.SUCCESS
+
+
+def main(arguments: list[str]) -> ExitStatus:
+    """Read the settings and serve; return the exit status."""
+    parser = argparse.ArgumentParser(prog="flamingostack-dispatch")
+    parser.add_argument("--settings", type=Path, required=True, help="settings file (TOML)")
+    options = parser.parse_args(arguments)
+    settings = load_settings(options.settings)
+    if isinstance(settings, Failure):
+        print(f"flamingostack-dispatch: {settings.message}", file=sys.stderr)
+        return ExitStatus.INVALID_INPUT
+    return uvloop.run(serve(make_environment(settings, "dispatch")))
+
+
+def run() -> None:
+    """Entry point of `flamingostack-dispatch`."""
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/dispatch/support.py
@@ -0,0 +1,255 @@
+"""A fake searcher, and a dispatch process's parts on a real StateFeed without a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+from flamingostack.clock import ms_to_ns
+from flamingostack.dispatch.ownership import Ownership
+from flamingostack.dispatch.recorder import Recorder
+from flamingostack.dispatch.work import Work
+from flamingostack.environment import Environment
+from flamingostack.generated import messages_pb2 as pb
+from flamingostack.logs import configure_logs, make_logger
+from flamingostack.settings import parse_settings
+from flamingostack.state import StateFeed
+
+SETTINGS = """
+[instance]
+id = "a1"
+failure_domain = "a"
+[control]
+listen = "127.0.0.1:1"
+[dispatch]
+listen = "127.0.0.1:{port}"
+{dispatch}
+[entry]
+listen = "127.0.0.1:2"
+[store]
+url = "http://127.0.0.1:3"
+[fleet]
+max_request_ms = 3000
+"""
+PRESET = b"""
+name = "ordinary"
+[classes.desk]
+service = "search"
+deadline_ms = 2000
+priority = 0
+max_queue_ms = 2000
+[classes.portal]
+service = "search"
+deadline_ms = 2000
+priority = 5
+max_queue_ms = 50
+[limits]
+cold_successes = 1
+connection_percent = 100
+"""
+NOT_RUN = pb.SUB_STATUS_NOT_RUN
+OK = pb.SUB_STATUS_OK
+
+
+class FakeSearcher:
+    """Counts complete requests; `mode` and `delay_s` tell how they are answered."""
+
+    def __init__(self):
+        self.bodies = []
+        self.headers = []
+        self.cancelled = []
+        self.connections = set()
+        self.most_connections = 0
+        self.running = 0
+        self.most_running = 0
+        self.mode = "ok"
+        self.delay_s = 0.0
+        self.cold = "0"
+        self.address = ""
+        self.go_on = asyncio.Event()
+
+    async def start(self):
+        app = web.Application()
+        app.router.add_post("/search", self.serve)
+        app.router.add_post("/submit", self.serve)
+        app.router.add_delete("/requests/{id}", self.cancel)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = "{}:{}".format(*site._server.sockets[0].getsockname())
+
+    async def stop(self):
+        self.go_on.set()
+        await self.runner.cleanup()
+
+    async def serve(self, request):
+        self.connections = {item for item in self.connections if not item.is_closing()}
+        self.connections.add(request.transport)
+        self.most_connections = max(self.most_connections, len(self.connections))
+        body = await request.json()
+        self.bodies.append(body)
+        self.headers.append(dict(request.headers, path=request.path))
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            return await self.answer(request, body)
+        finally:
+            self.running -= 1
+
+    async def answer(self, request, body):
+        mode = self.mode
+        if mode == "wait":
+            await self.go_on.wait()
+        elif mode == "silent":
+            await asyncio.sleep(60)
+        elif mode == "close":
+            request.transport.abort()
+        await asyncio.sleep(self.delay_s)
+        answer = {**body, "snapshot": request.headers["Snapshot"], "count": 1}
+        status = mode if isinstance(mode, int) else 200
+        return web.json_response(answer, status=status, headers={"Searcher-Cold": self.cold})
+
+    async def cancel(self, request):
+        self.cancelled.append(request.match_info["id"])
+        self.mode = 499
+        self.go_on.set()
+        return web.Response()
+
+
+class ListSink:
+    """Keeps replies by id."""
+
+    def __init__(self):
+        self.works_by_id: dict[int, Work] = {}
+        self.replies_by_id: dict[int, pb.SubReply] = {}
+        self.order = []
+
+    def post(self, reply):
+        self.replies_by_id[reply.id] = reply
+        self.order.append(reply.id)
+
+
+class RecordingFeed(StateFeed):
+    """Keeps the drained reports as (number, term, transfer, incarnation)."""
+
+    def __init__(self, environment, process):
+        super().__init__(environment, process)
+        self.drained = []
+
+    def report_drained(self, claims):
+        claims = list(claims)
+        for claim in claims:
+            self.drained.append((claim.number, claim.term, claim.transfer, claim.incarnation))
+        super().report_drained(claims)
+
+
+class Bench:
+    """One dispatch process without sockets of its own, and the state it follows.
+
+    `skew_ns` moves its clock, which the event loop's timers do not follow.
+    """
+
+    def __init__(self, dispatch="half_open_ms = 200\nsilent_after_ms = 100", port=4):
+        settings = parse_settings(SETTINGS.format(port=port, dispatch=dispatch).encode(), "test")
+        configure_logs("error")
+        self.skew_ns = 0
+        self.environment = Environment(settings, make_logger("a1", "a", "d"), self.now, "a1-0")
+        self.feed = RecordingFeed(self.environment, "dispatch")
+        self.recorder = Recorder(100)
+        self.ownership = Ownership(self.environment, self.feed, self.recorder)
+        self.feed.views.subscribe(self.ownership.apply)
+        self.sink = ListSink()
+        self.next_id = 0
+        self.version = 0
+        self.lease_ms = 60_000
+
+    def now(self):
+        loop = asyncio.get_event_loop()
+        return ms_to_ns(1000 * loop.time()) + self.skew_ns
+
+    def update(self, targets=None, grants=((0, 1, 1, 0),), marks=(), lease_ms=None):
+        """Apply a state; grants are (number, term, transfer, reserve)."""
+        self.version += 1
+        if lease_ms is not None:
+            self.lease_ms = lease_ms
+        document = pb.FleetDocument(version=self.version, partition_count=1, marks=marks)
+        document.preset.CopyFrom(pb.PresetInForce(name="ordinary", revision=1, body=PRESET))
+        update = pb.StateUpdate(
+            protocol=1,
+            document=document,
+            lease_until_ns=self.now() + ms_to_ns(self.lease_ms),
+            own_member=pb.Member(instance="a1", incarnation="a1-0"),
+        )
+        for number, term, transfer, reserve in grants:
+            update.grants.add(number=number, term=term, transfer=transfer, reserve=reserve)
+        if targets is not None:
+            update.indexes.add(service="search", keyspace=10, targets=targets)
+        self.feed.apply(update)
+
+    def send(self, target="t1", deadline_ms=2000, **fields):
+        """Hand in a sub-request; return its id."""
+        self.next_id += 1
+        fields.setdefault("request_class", "desk")
+        request = pb.SubRequest(
+            id=self.next_id,
+            request_id="r1",
+            target=target,
+            snapshot="s1",
+            high=10,
+            deadline_ms=deadline_ms,
+            payload=b'"q"',
+            **fields,
+        )
+        self.ownership.accept(request, self.sink)
+        return self.next_id
+
+    async def reply(self, number, timeout_s=5.0):
+        """Wait for a reply."""
+        await until(lambda: number in self.sink.replies_by_id, timeout_s)
+        return self.sink.replies_by_id[number]
+
+    async def ask(self, **fields):
+        """Hand in a sub-request and wait for its reply."""
+        return await self.reply(self.send(**fields))
+
+    def target(self, name="t1"):
+        return self.ownership._targets_by_id[name]
+
+    async def stop(self):
+        self.ownership.stop_accepting()
+        await self.ownership.wait_finished(0.2)
+
+
+def make_target(address, name="t1", slots=4, cold_limit=2, connections=10, domain="a"):
+    return pb.Target(
+        id=name,
+        address=address,
+        failure_domain=domain,
+        slots=slots,
+        connections=connections,
+        cold_limit=cold_limit,
+    )
+
+
+async def until(condition, timeout_s=5.0):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
+
+
+@contextlib.asynccontextmanager
+async def serving(dispatch=None, **sizes):
+    """Yield a bench and a fake searcher that is held as target t1."""
+    searcher = FakeSearcher()
+    await searcher.start()
+    bench = Bench() if dispatch is None else Bench(dispatch)
+    bench.update([make_target(searcher.address, **sizes)])
+    try:
+        yield bench, searcher
+    finally:
+        await bench.stop()
+        await searcher.stop()
