--- a/flamingostack/dispatch/fence.py
+++ b/flamingostack/dispatch/fence.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol
 
-from aiohttp import ClientRequest, ClientResponse, payload
+from aiohttp import ClientRequest, ClientResponse, SocketTimeoutError, payload
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.connector import Connection
 
@@ -14,6 +14,7 @@
 
 DEADLINE_HEADER = "Deadline-Ms"
 CONNECTION_CLOSED = "connection_closed"
+FLUSH_POLL_S = 0.002
 
 
 class FenceRefusedError(Exception):
@@ -21,29 +22,32 @@
 
 
 class FlushGate:
-    """Lets one body for a target through in each event loop iteration.
+    """Lets one body at a time be between the check and the socket, for one target.
 
-    uvloop keeps written bytes until the end of the iteration. With one body for each iteration, a
-    process that is frozen between the check and the flush sends at most one stale request to
-    a target, which is what the reserve of the next holder accounts for.
+    The transports of asyncio and uvloop 0.23 hand a body to the socket at once, but keep what a
+    full socket does not take. A process that is frozen then sends the rest when it resumes. With
+    one such body at a time it sends at most one stale request to a target, which is what the
+    reserve of the next holder accounts for.
     """
 
-    __slots__ = ("_open", "_loop")
+    __slots__ = ("_is_open",)
 
     def __init__(self) -> None:
-        self._open = asyncio.Event()
-        self._open.set()
-        self._loop = asyncio.get_running_loop()
+        self._is_open = asyncio.Event()
+        self._is_open.set()
 
-    def close_until_flushed(self) -> None:
-        """Close the gate until the next event loop iteration."""
-        self._open.clear()
-        self._loop.call_soon(self._open.set)
+    def close(self) -> None:
+        """Keep other bodies back."""
+        self._is_open.clear()
+
+    def open(self) -> None:
+        """Let the next body through."""
+        self._is_open.set()
 
     async def wait_open(self) -> None:
         """Return in the same synchronous step in which the gate was found open."""
-        while not self._open.is_set():
-            await self._open.wait()
+        while not self._is_open.is_set():
+            await self._is_open.wait()
 
 
 class Guard(Protocol):
@@ -51,6 +55,7 @@
 
     gate: FlushGate
     connections: Connections
+    silent_after_s: float
 
     def find_refusal(self, work: Work) -> str:
         """Return why the work must not be sent now, or an empty string."""
@@ -96,9 +101,28 @@
         self.refusal = self.guard.find_refusal(self.work) or find_closed(writer)
         if self.refusal:
             raise FenceRefusedError(self.refusal)
-        gate.close_until_flushed()
+        gate.close()
         self.has_begun = True
-        await writer.write(self._value)
+        try:
+            # Without `drain` the call does not suspend, and never waits on a silent connection.
+            await writer.write(self._value, drain=False)
+            if writer.transport.get_write_buffer_size():
+                await self._wait_flushed(writer.transport)
+        finally:
+            gate.open()
+
+    async def _wait_flushed(self, transport: asyncio.Transport) -> None:
+        """Wait until the socket has taken the rest; raise a timeout if it takes nothing more."""
+        loop = asyncio.get_running_loop()
+        size = transport.get_write_buffer_size()
+        progress_at = loop.time()
+        while size and not transport.is_closing():
+            await asyncio.sleep(FLUSH_POLL_S)
+            previous, size = size, transport.get_write_buffer_size()
+            if size < previous:
+                progress_at = loop.time()
+            elif loop.time() - progress_at > self.guard.silent_after_s:
+                raise SocketTimeoutError("no progress in writing the body")
 
 
 def find_closed(writer: AbstractStreamWriter) -> str:
--- a/flamingostack/dispatch/main.py
+++ b/flamingostack/dispatch/main.py
@@ -98,7 +98,8 @@
         log = self.environment.log
         log.info("shutting_down")
         self.feed.report_shutdown(finished=False)
-        await self._wait_withdrawn(settings.control.shutdown_ms)
+        if not settings.dispatch.direct_share_percent:
+            await self._wait_withdrawn()
         self.ownership.stop_accepting()
         longest_ms = settings.fleet.max_request_ms + settings.dispatch.silent_after_ms
         is_finished = await self.ownership.wait_finished(longest_ms / 1000 + FLUSH_S)
@@ -110,18 +111,19 @@
         await self._stop()
         log.info("stopped")
 
-    async def _wait_withdrawn(self, shutdown_ms: int) -> None:
-        """Wait until no partition is granted, the lease has expired, or the time is over.
+    async def _wait_withdrawn(self) -> None:
+        """Wait until no partition is granted, or the time is over.
 
-        Without a lease nothing new is sent and nobody may be there to withdraw the grants.
+        A lease that has been over for as long as it runs means that control is gone, so that
+        nobody withdraws the grants; nothing is sent without a lease.
         """
+        settings = self.environment.settings
+        lease_ns = settings.fleet.lease_ms * NS_PER_MS
         changed = asyncio.Event()
         subscription = self.feed.views.subscribe(lambda view: changed.set())
-        end_ns = self.environment.now_ns() + shutdown_ms * NS_PER_MS
-        while (
-            self.feed.view.grants_by_partition
-            and self.feed.is_current()
-            and self.environment.now_ns() < end_ns
+        end_ns = self.environment.now_ns() + settings.control.shutdown_ms * NS_PER_MS
+        while self.feed.view.grants_by_partition and self.environment.now_ns() < min(
+            end_ns, self.feed.view.lease_until_ns + lease_ns
         ):
             changed.clear()
             with contextlib.suppress(TimeoutError):
--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -153,6 +153,7 @@
         "queue",
         "gate",
         "connections",
+        "silent_after_s",
         "in_flight",
         "claim",
         "is_retired",
@@ -182,6 +183,7 @@
         self.queue = WorkQueue()
         self.gate = FlushGate()
         self.connections = Connections(count_connections(info.target, policy))
+        self.silent_after_s = context.environment.settings.dispatch.silent_after_ms / 1000
         self.in_flight = 0
         self.claim: Claim | None = None
         self.is_retired = False
