--- /dev/null
+++ b/tests/control/fakes.py
@@ -0,0 +1,106 @@
+"""An in-process fake of the platform's object API, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+
+from aiohttp import web
+
+
+class FakeStore:
+    """Objects with conditional updates, served on loopback.
+
+    `lose_answers` counts writes that take effect and whose connection is then closed; `down`
+    closes each connection unanswered.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.objects: dict[str, tuple[int, bytes | None]] = {}
+        self.down = False
+        self.lose_answers = 0
+        self.writes = 0
+        self.instances: list[dict[str, str]] = []
+        self.changed = asyncio.Condition()
+        self.runner: web.AppRunner | None = None
+        self.url = ""
+
+    async def start(self) -> None:
+        app = web.Application(client_max_size=4 << 20)
+        app.router.add_route("GET", "/v1/objects/{key:.+}", self.get)
+        app.router.add_route("PUT", "/v1/objects/{key:.+}", self.write)
+        app.router.add_route("DELETE", "/v1/objects/{key:.+}", self.write)
+        app.router.add_route("GET", "/v1/changes", self.get_changes)
+        app.router.add_route("GET", "/v1/instances", self.get_instances)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.url = f"http://127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        await self.runner.cleanup()
+
+    async def put(self, key: str, value: bytes | None) -> int:
+        self.revision += 1
+        self.objects[key] = (self.revision, value)
+        async with self.changed:
+            self.changed.notify_all()
+        return self.revision
+
+    def fail_if_down(self, request: web.Request) -> None:
+        if self.down:
+            request.transport.close()
+            raise web.HTTPServiceUnavailable
+
+    async def get(self, request: web.Request) -> web.Response:
+        self.fail_if_down(request)
+        version, value = self.objects.get(request.match_info["key"], (0, None))
+        if value is None:
+            raise web.HTTPNotFound
+        return web.Response(body=value, headers={"Object-Version": str(version)})
+
+    async def write(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        self.fail_if_down(request)
+        self.writes += 1
+        key = request.match_info["key"]
+        version, value = self.objects.get(key, (0, None))
+        wanted = request.headers.get("If-Match")
+        refused = value is not None if wanted is None else value is None or wanted != str(version)
+        if refused:
+            current = str(version if value is not None else 0)
+            raise web.HTTPPreconditionFailed(headers={"Object-Version": current})
+        written = await self.put(key, body if request.method == "PUT" else None)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            request.transport.close()
+        return web.Response(headers={"Object-Version": str(written)})
+
+    async def get_changes(self, request: web.Request) -> web.Response:
+        self.fail_if_down(request)
+        since = int(request.query["since"])
+        prefix = request.query.get("prefix", "")
+
+        def find() -> list:
+            return [
+                {
+                    "key": key,
+                    "version": version,
+                    "value": None if value is None else base64.b64encode(value).decode(),
+                }
+                for key, (version, value) in self.objects.items()
+                if version > since and key.startswith(prefix)
+            ]
+
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(request.query["wait_ms"]) / 1000), self.changed:
+                await self.changed.wait_for(find)
+        self.fail_if_down(request)
+        return web.json_response({"revision": self.revision, "objects": find()})
+
+    async def get_instances(self, request: web.Request) -> web.Response:
+        self.fail_if_down(request)
+        return web.json_response({"instances": self.instances})
