--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -41,6 +41,7 @@
 PORTS = range(10_000, 32_000)
 POLL_S = 0.05
 READY_WITHIN_S = 20.0
+READY_TIMEOUT_S = 0.3
 PROCESSES = ("control", "dispatch", "entry")
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None, use_errno=True)
@@ -521,11 +522,11 @@
 
         await self._wait_until(all_ready, within_s, f"not ready: {', '.join(ids)}")
 
-    async def is_ready(self, instance_id: str) -> bool:
+    async def is_ready(self, instance_id: str, timeout_s: float = 1.0) -> bool:
         """Ask an entry process whether it is ready."""
         url = f"{self.caller_url(instance_id)}/ready"
         try:
-            timeout = aiohttp.ClientTimeout(total=1)
+            timeout = aiohttp.ClientTimeout(total=timeout_s)
             async with self.session.get(url, timeout=timeout) as answer:
                 return answer.status == 200
         except (aiohttp.ClientError, TimeoutError):
@@ -844,7 +845,10 @@
     async def _watch_ready(self, poll_s: float) -> None:
         while True:
             ids = list(self.cluster.instances)
-            states = await asyncio.gather(*(self.cluster.is_ready(item) for item in ids))
+            # Short, so that a frozen instance does not delay what is learnt about the others.
+            states = await asyncio.gather(
+                *(self.cluster.is_ready(item, timeout_s=READY_TIMEOUT_S) for item in ids)
+            )
             self.ready = [item for item, ready in zip(ids, states, strict=True) if ready]
             await asyncio.sleep(poll_s)
 
