--- /dev/null
+++ b/flamingostack/control/controller.py
@@ -0,0 +1,121 @@
+"""The control process's node and whoever has to hear of its changes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..clock import ms_to_ns
+from ..environment import Environment
+from ..fleet.node import Node, Timing
+from ..generated import messages_pb2 as pb
+from .follow import Followers
+
+
+class Controller:
+    """Owns the node. Whoever changes the node calls `changed` in the same synchronous step."""
+
+    __slots__ = ("environment", "node", "followers", "_listeners", "_waiters", "_shared", "_local")
+
+    def __init__(self, environment: Environment, node: Node) -> None:
+        self.environment = environment
+        self.node = node
+        self.followers = Followers(
+            lease_ns=node.timing.lease_ns, max_request_ns=node.timing.max_request_ns
+        )
+        self._listeners: list[Callable[[], None]] = []
+        self._waiters: set[asyncio.Event] = set()
+        self._shared: object = None
+        self._local: object = None
+
+    def now_ns(self) -> int:
+        """Return the boottime clock's reading."""
+        return self.environment.now_ns()
+
+    def on_shared_change(self, listener: Callable[[], None]) -> None:
+        """Register a listener for changes that the peers have to hear of at once."""
+        self._listeners.append(listener)
+
+    def changed(self) -> None:
+        """Push what has changed to local processes and peers."""
+        node = self.node
+        now_ns = self.now_ns()
+        self._update_own(now_ns)
+        shared = (
+            node.document.version,
+            node.applied_version,
+            node.claims_revision,
+            node.own.leaving,
+            node.own.dispatch_down,
+        )
+        grants = [
+            (grant.number, grant.term, grant.transfer, grant.reserve) for grant in node.grants()
+        ]
+        live = sorted(
+            (peer.member.incarnation, peer.member.leaving, peer.member.dispatch_down)
+            for peer in node.membership.live(now_ns)
+        )
+        local = (shared, grants, live, node.index_revision, len(node.indexes))
+        if local != self._local:
+            self._local = local
+            self.followers.wake_all()
+        if shared != self._shared:
+            self._shared = shared
+            for listener in self._listeners:
+                listener()
+        for waiter in self._waiters:
+            waiter.set()
+
+    def _update_own(self, now_ns: int) -> None:
+        node = self.node
+        applied = self.followers.applied_version(node.document.version, now_ns)
+        if applied != node.applied_version:
+            node.applied_version = applied
+            node.update(now_ns)
+        down = self.followers.is_dispatch_down(now_ns)
+        if down != node.own.dispatch_down:
+            node.own.dispatch_down = down
+            node.membership.on_answering(node.own, now_ns)
+
+    def tick(self) -> None:
+        """Recompute what depends on the time."""
+        self.node.update(self.now_ns())
+        self.changed()
+
+    async def wait_for(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+        """Wait until `condition` holds after some change; return whether it does."""
+        event = asyncio.Event()
+        self._waiters.add(event)
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not condition():
+                    event.clear()
+                    await event.wait()
+        except TimeoutError:
+            return condition()
+        finally:
+            self._waiters.discard(event)
+        return True
+
+
+def make_controller(environment: Environment) -> Controller:
+    """Return the controller of this instance, which knows nothing yet."""
+    settings = environment.settings
+    fleet = settings.fleet
+    own = pb.Member(
+        instance=settings.instance.id,
+        incarnation=environment.incarnation,
+        failure_domain=settings.instance.failure_domain,
+        control_address=settings.control.listen,
+        dispatch_addresses=[settings.dispatch.listen],
+        entry_address=settings.entry.listen,
+        dispatch_down=True,
+    )
+    timing = Timing(
+        lease_ns=ms_to_ns(fleet.lease_ms),
+        margin_ns=ms_to_ns(fleet.lease_margin_ms),
+        suspect_ns=ms_to_ns(fleet.suspect_ms),
+        max_request_ns=ms_to_ns(fleet.max_request_ms),
+    )
+    seeds = [address for address in settings.control.peers if address != own.control_address]
+    return Controller(environment, Node(own, timing, environment.now_ns(), seeds))
--- /dev/null
+++ b/flamingostack/control/main.py
@@ -0,0 +1,158 @@
+"""Entry point of the control process."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from grpclib.server import Server
+
+from ..environment import Environment, make_environment
+from ..errors import Failure
+from ..settings import load_settings, split_address
+from ..status import ExitStatus
+from ..store import make_store
+from .controller import Controller, make_controller
+from .keeper import Keeper
+from .operations import Operations
+from .ownership import Ownership
+from .peers import Peers
+from .service import ControlService
+
+
+def run() -> None:
+    """Run the control process and exit with its status."""
+    sys.exit(main(sys.argv[1:]))
+
+
+def main(arguments: list[str]) -> ExitStatus:
+    """Read the settings and serve until SIGTERM."""
+    parser = argparse.ArgumentParser(prog="flamingostack-control", description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True, help="TOML file of the instance")
+    settings = load_settings(parser.parse_args(arguments).settings)
+    if isinstance(settings, Failure):
+        print(settings.message, file=sys.stderr)
+        return ExitStatus.INVALID_INPUT
+    environment = make_environment(settings, "control")
+    return asyncio.run(serve_until_signal(environment))
+
+
+async def serve_until_signal(environment: Environment) -> ExitStatus:
+    """Serve until SIGTERM or SIGINT; a second signal ends the shutdown at once."""
+    process = ControlProcess(environment)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.stop)
+    return await process.serve()
+
+
+class ControlProcess:
+    """All parts of a control process; `serve` runs until a graceful shutdown has ended."""
+
+    __slots__ = (
+        "environment",
+        "controller",
+        "store",
+        "keeper",
+        "peers",
+        "service",
+        "ownership",
+        "_stopping",
+        "_interrupted",
+    )
+
+    def __init__(self, environment: Environment) -> None:
+        store = environment.settings.store
+        self.environment = environment
+        self.controller: Controller = make_controller(environment)
+        self.store = make_store(store.url, store.timeout_ms)
+        self.keeper = Keeper(self.controller, self.store)
+        self.peers = Peers(self.controller, self.keeper)
+        operations = Operations(self.controller, self.keeper)
+        self.service = ControlService(self.controller, self.keeper, operations)
+        self.ownership = Ownership(self.controller, self.keeper, self.peers)
+        self._stopping = asyncio.Event()
+        self._interrupted = asyncio.Event()
+
+    def stop(self) -> None:
+        """Start a graceful shutdown; a second call ends it at once."""
+        if self._stopping.is_set():
+            self._interrupted.set()
+        self._stopping.set()
+
+    async def serve(self) -> ExitStatus:
+        """Serve until `stop`, give everything away, and return the exit status."""
+        address = self.environment.settings.control.listen
+        server = Server([self.service])
+        try:
+            await server.start(*split_address(address))
+        except OSError as error:
+            self.environment.log.error("cannot_listen", address=address, reason=str(error))
+            return ExitStatus.UNAVAILABLE
+        self.environment.log.info(
+            "listening", address=address, incarnation=self.environment.incarnation
+        )
+        tasks = [asyncio.create_task(work) for work in self._make_work()]
+        for task in tasks:
+            task.add_done_callback(self._on_task_done)
+        try:
+            await self._stopping.wait()
+            return await self._leave()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self.peers.close()
+            server.close()
+            await server.wait_closed()
+            await self.store.close()
+            self.environment.log.info("stopped")
+
+    def _make_work(self) -> list:
+        return [
+            self.ownership.run(),
+            self.keeper.watch_document(),
+            self.keeper.watch_indexes(),
+            self.keeper.watch_presets(),
+            self.keeper.watch_instances(),
+        ]
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        """End the process if a part fails: a restarted one is better than half a process."""
+        if not task.cancelled() and task.exception() is not None:
+            self.environment.log.error("task_failed", exc_info=task.exception())
+            self._stopping.set()
+            self._interrupted.set()
+
+    async def _leave(self) -> ExitStatus:
+        """Give away all partitions and wait for the local processes, within `shutdown_ms`."""
+        if self._interrupted.is_set():
+            return ExitStatus.ERROR
+        limit_s = self.environment.settings.control.shutdown_ms / 1000
+        self.environment.log.info("leaving", limit_s=limit_s)
+        self.controller.node.own.leaving = True
+        self.controller.changed()
+        left = await self.controller.wait_for(
+            lambda: self._interrupted.is_set() or self._has_left(), limit_s
+        )
+        node = self.controller.node
+        self.environment.log.info(
+            "left" if left else "leave_timed_out", partitions_held=len(node.accepted_claims)
+        )
+        return ExitStatus.INTERRUPTED if self._interrupted.is_set() else ExitStatus.SUCCESS
+
+    def _has_left(self) -> bool:
+        """Tell whether nobody needs this process any more."""
+        node = self.controller.node
+        now_ns = self.controller.now_ns()
+        if not self.controller.followers.all_finished():
+            return False
+        reached = {peer.member.incarnation for peer in node.membership.reached(now_ns)}
+        pending = reached & node.transfers_to_send().keys()
+        heirs = node.domains_of_holders(now_ns).keys() - {node.own.incarnation}
+        if pending or (node.accepted_claims and heirs):
+            return False
+        return node.has_spread_claims(now_ns)
--- /dev/null
+++ b/flamingostack/fleet/acceptance.py
@@ -0,0 +1,80 @@
+"""The rule by which a document version counts as accepted.
+
+A version is accepted when no instance can still be acting on an older state. All times are
+nanoseconds of the local boottime clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from ..generated import messages_pb2 as pb
+from .membership import Membership, Peer
+from .partitions import majority_of
+
+
+def has_settled(membership: Membership, incarnation: str, version: int) -> bool:
+    """Tell whether an incarnation can no longer vote for a state older than `version`.
+
+    A dead process counts only if it cannot have transferred partitions that this instance has not
+    heard of: every member that is behind must have answered, with its claims, after the death.
+    """
+    peer = membership.peers.get(incarnation)
+    if peer is None:
+        return False
+    if peer.version >= version:
+        return True
+    if not peer.dead_ns:
+        return False
+    return all(
+        other is peer
+        or other.dead_ns
+        or other.version >= version
+        or (other.answer is not None and other.answer.sent_ns > peer.dead_ns)
+        for other in membership.peers.values()
+    )
+
+
+def count_missing_votes(
+    partitions: Mapping[int, pb.Partition],
+    voter_count: int,
+    membership: Membership,
+    own_version: int,
+    version: int,
+) -> int:
+    """Return how many voting partitions may still vote for a state older than `version`."""
+    settled_by_name = {membership.own.incarnation: own_version >= version}
+    missing = 0
+    for number in range(voter_count):
+        partition = partitions.get(number)
+        if partition is None:
+            missing += 1
+            continue
+        for name in (partition.holder.incarnation, *partition.unresolved_holders):
+            if name not in settled_by_name:
+                settled_by_name[name] = has_settled(membership, name, version)
+            if not settled_by_name[name]:
+                missing += 1
+                break
+    return missing
+
+
+def has_quorum(missing: int, voter_count: int) -> bool:
+    """Tell whether the votes that are missing are too few for a lease on an older state."""
+    return missing < majority_of(voter_count)
+
+
+def is_confirmed(peer: Peer, version: int) -> bool:
+    """Tell whether an instance acts on no state older than `version` by what is known of it."""
+    return peer.applied_version >= version or peer.is_stopped()
+
+
+class Acceptance:
+    """Progress of one version: when the quorum was seen, and when it was accepted (0: not yet)."""
+
+    __slots__ = ("version", "quorum_ns", "accepted_ns")
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+        self.quorum_ns = 0
+        self.accepted_ns = 0
--- /dev/null
+++ b/flamingostack/fleet/lease.py
@@ -0,0 +1,75 @@
+"""The arithmetic of the state lease.
+
+All times are nanoseconds of the local boottime clock. Every lease counts from the time at which a
+request was sent, so that delays only shorten it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .partitions import majority_of
+
+NO_LEASE = 0
+
+
+class PeerAnswer:
+    """What a peer's newest Sync reply says about its state.
+
+    `sent_ns` is when the request was sent, `store_contact_ns` when the peer sent its own last
+    answered read to the store, at the latest (None: never).
+    """
+
+    __slots__ = ("sent_ns", "version", "store_contact_ns", "votes")
+
+    def __init__(
+        self,
+        sent_ns: int,
+        version: int,
+        store_contact_ns: int | None,
+        votes: frozenset[int],
+    ) -> None:
+        self.sent_ns = sent_ns
+        self.version = version
+        self.store_contact_ns = store_contact_ns
+        self.votes = votes
+
+
+def relay_lease(answers: Iterable[PeerAnswer], version: int, lease_ns: int) -> int:
+    """Return the longest lease from a peer's contact with the store."""
+    contacts = [
+        answer.store_contact_ns
+        for answer in answers
+        if answer.store_contact_ns is not None and answer.version <= version
+    ]
+    return max(contacts) + lease_ns if contacts else NO_LEASE
+
+
+def vote_lease(
+    answers: Iterable[PeerAnswer],
+    own_votes: frozenset[int],
+    voter_count: int,
+    version: int,
+    lease_ns: int,
+    now_ns: int,
+) -> int:
+    """Return the lease from the holders of a majority of the voting partitions.
+
+    It counts from the oldest of the requests that are needed for the majority. There is none while
+    a peer has a store contact younger than the lease.
+    """
+    answers = list(answers)
+    for answer in answers:
+        contact_ns = answer.store_contact_ns
+        if contact_ns is not None and contact_ns > now_ns - lease_ns:
+            return NO_LEASE
+    votes = set(own_votes)
+    oldest_ns = now_ns
+    newest_first = sorted(answers, key=lambda answer: -answer.sent_ns)
+    for answer in newest_first:
+        if len(votes) >= majority_of(voter_count):
+            break
+        if answer.version <= version and not answer.votes <= votes:
+            votes |= answer.votes
+            oldest_ns = answer.sent_ns
+    return oldest_ns + lease_ns if len(votes) >= majority_of(voter_count) else NO_LEASE
--- /dev/null
+++ b/flamingostack/fleet/membership.py
@@ -0,0 +1,188 @@
+"""Members of the fleet as one control process sees them: heard, silent or known to be dead.
+
+All times are nanoseconds of the local boottime clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..generated import messages_pb2 as pb
+from .lease import PeerAnswer
+
+# Dead incarnations are remembered, so that a peer that still lists one does not revive it.
+MAX_DEAD = 10_000
+
+
+class Peer:
+    """Another incarnation: what it said itself, and when.
+
+    `heard_ns` is when the last message of it arrived; `dead_ns` is when its death was seen (0: not
+    seen), and `dispatch_gone_ns` when all its dispatch processes were known to have stopped.
+    """
+
+    __slots__ = (
+        "member",
+        "first_hand",
+        "heard_ns",
+        "answer",
+        "version",
+        "applied_version",
+        "silent_members",
+        "claims_revision",
+        "index_revision",
+        "dead_ns",
+        "refusing",
+        "dispatch_gone_ns",
+    )
+
+    def __init__(self, member: pb.Member, now_ns: int) -> None:
+        self.member = member
+        self.first_hand = False
+        self.heard_ns = now_ns
+        self.answer: PeerAnswer | None = None
+        self.version = 0
+        self.applied_version = 0
+        self.silent_members: frozenset[str] = frozenset()
+        self.claims_revision = 0
+        self.index_revision = 0
+        self.dead_ns = 0
+        self.refusing: set[str] = set()
+        self.dispatch_gone_ns = 0
+
+    def is_stopped(self) -> bool:
+        """Tell whether the addresses of all its processes refused connections."""
+        addresses = {*self.member.dispatch_addresses, self.member.entry_address} - {""}
+        return bool(self.dead_ns) and addresses <= self.refusing
+
+
+class Membership:
+    """All known peers, without the own incarnation."""
+
+    __slots__ = ("own", "suspect_ns", "peers", "dead")
+
+    def __init__(self, own: pb.Member, suspect_ns: int) -> None:
+        self.own = own
+        self.suspect_ns = suspect_ns
+        self.peers: dict[str, Peer] = {}
+        self.dead: dict[str, None] = {}
+
+    def learn(self, member: pb.Member, now_ns: int, first_hand: bool = False) -> Peer | None:
+        """Add or update a member; None for the own incarnation and for forgotten ones."""
+        name = member.incarnation
+        if not name or name == self.own.incarnation or (name in self.dead and not first_hand):
+            return None
+        peer = self.peers.get(name)
+        if peer is None:
+            peer = self.peers[name] = Peer(pb.Member(), now_ns)
+            peer.member.CopyFrom(member)
+            self._find_replaced(now_ns)
+        leaving = peer.member.leaving or member.leaving
+        if first_hand or not peer.first_hand:
+            peer.member.CopyFrom(member)
+            peer.member.leaving = leaving
+        if first_hand:
+            peer.first_hand = True
+            peer.heard_ns = now_ns
+            self._revive(peer)
+        return peer
+
+    def _revive(self, peer: Peer) -> None:
+        """Take back a death: a process that sends is not dead."""
+        self.dead.pop(peer.member.incarnation, None)
+        peer.dead_ns = 0
+        peer.dispatch_gone_ns = 0
+        peer.refusing.clear()
+
+    def mark_dead(self, incarnation: str, now_ns: int) -> None:
+        """Record that a control process is known to be dead."""
+        peer = self.peers.get(incarnation)
+        if peer is not None and not peer.dead_ns:
+            peer.dead_ns = now_ns
+            peer.answer = None
+            if not peer.member.dispatch_addresses:
+                peer.dispatch_gone_ns = now_ns
+
+    def on_refused(self, address: str, now_ns: int) -> bool:
+        """Record that an address refuses connections; return whether a death was new."""
+        changed = False
+        for name, peer in self.peers.items():
+            member = peer.member
+            if member.control_address == address and not peer.dead_ns:
+                self.mark_dead(name, now_ns)
+                changed = True
+            if address in member.dispatch_addresses or address == member.entry_address:
+                peer.refusing.add(address)
+                changed |= self._check_dispatch_gone(peer, now_ns)
+        return changed
+
+    def on_answering(self, member: pb.Member, now_ns: int) -> None:
+        """Record that `member` answers at its address: other incarnations there are dead."""
+        for name, peer in self.peers.items():
+            if name == member.incarnation or peer.member.control_address != member.control_address:
+                continue
+            self.mark_dead(name, now_ns)
+            # The dispatch process at the same address either is a new one, or follows the new
+            # control process and has dropped the claims of the old one.
+            same = list(peer.member.dispatch_addresses) == list(member.dispatch_addresses)
+            if same and not member.dispatch_down and not peer.dispatch_gone_ns:
+                peer.dispatch_gone_ns = now_ns
+
+    def _find_replaced(self, now_ns: int) -> None:
+        """Find incarnations that were replaced at the own address."""
+        self.on_answering(self.own, now_ns)
+
+    def _check_dispatch_gone(self, peer: Peer, now_ns: int) -> bool:
+        gone = set(peer.member.dispatch_addresses) <= peer.refusing
+        if not gone or not peer.dead_ns or peer.dispatch_gone_ns:
+            return False
+        peer.dispatch_gone_ns = now_ns
+        return True
+
+    def addresses_to_probe(self) -> set[str]:
+        """Return the addresses of dead members' other processes that have not yet refused."""
+        return {
+            address
+            for peer in self.peers.values()
+            if peer.dead_ns
+            for address in (*peer.member.dispatch_addresses, peer.member.entry_address)
+            if address and address not in peer.refusing
+        }
+
+    def is_silent(self, peer: Peer, now_ns: int) -> bool:
+        """Tell whether a peer is dead or was not heard from for `suspect_ms`."""
+        return bool(peer.dead_ns) or now_ns - peer.heard_ns >= self.suspect_ns
+
+    def is_reached(self, peer: Peer, now_ns: int) -> bool:
+        """Tell whether a peer answered a request that was sent within `suspect_ms`."""
+        answer = peer.answer
+        return not peer.dead_ns and answer is not None and now_ns - answer.sent_ns < self.suspect_ns
+
+    def live(self, now_ns: int) -> list[Peer]:
+        """Return the peers that are not silent."""
+        return [peer for peer in self.peers.values() if not self.is_silent(peer, now_ns)]
+
+    def reached(self, now_ns: int) -> list[Peer]:
+        """Return the peers that are reached."""
+        return [peer for peer in self.peers.values() if self.is_reached(peer, now_ns)]
+
+    def silent_names(self, now_ns: int) -> list[str]:
+        """Return the incarnations of silent peers."""
+        return [name for name, peer in self.peers.items() if self.is_silent(peer, now_ns)]
+
+    def is_silent_to_majority(self, incarnation: str, now_ns: int) -> bool:
+        """Tell whether a member is silent to this instance and to most that it reaches."""
+        peer = self.peers.get(incarnation)
+        if peer is None or not self.is_silent(peer, now_ns):
+            return False
+        reached = [other for other in self.reached(now_ns) if other is not peer]
+        agreeing = 1 + sum(incarnation in other.silent_members for other in reached)
+        return agreeing * 2 > len(reached) + 1
+
+    def forget(self, incarnations: Iterable[str]) -> None:
+        """Drop members for good."""
+        for name in incarnations:
+            self.peers.pop(name, None)
+            self.dead[name] = None
+        while len(self.dead) > MAX_DEAD:
+            self.dead.pop(next(iter(self.dead)))
--- /dev/null
+++ b/flamingostack/fleet/node.py
@@ -0,0 +1,804 @@
+"""The state of one control process and the rules by which messages change it, without I/O.
+
+Times are nanoseconds of the local boottime clock and are passed in. The control process, and the
+tests that search through interleavings, drive the same class.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..generated import messages_pb2 as pb
+from .acceptance import Acceptance, count_missing_votes, has_quorum, is_confirmed
+from .lease import NO_LEASE, PeerAnswer, relay_lease, vote_lease
+from .membership import Membership, Peer
+from .partitions import Claim, claim_of, is_newer, merge_same_claim, plan_balance, spread
+
+PROTOCOL = 1
+NS_PER_MS = 1_000_000
+# A dead member is dropped once its peers have had time to notice, too.
+FORGET_DEAD_NS = 60_000_000_000
+
+
+class Timing:
+    """Durations of the fleet's rules in nanoseconds."""
+
+    __slots__ = ("lease_ns", "margin_ns", "suspect_ns", "max_request_ns")
+
+    def __init__(self, lease_ns: int, margin_ns: int, suspect_ns: int, max_request_ns: int) -> None:
+        self.lease_ns = lease_ns
+        self.margin_ns = margin_ns
+        self.suspect_ns = suspect_ns
+        self.max_request_ns = max_request_ns
+
+
+class Giving:
+    """A partition that is being drained for its receiver."""
+
+    __slots__ = ("claim", "receiver")
+
+    def __init__(self, claim: Claim, receiver: str) -> None:
+        self.claim = claim
+        self.receiver = receiver
+
+
+class Node:
+    """What one control process knows, holds and may do.
+
+    `accepted_claims` are the claims that this process took on itself: a claim that only names it
+    as holder in a peer's message counts for nothing before its Transfer has arrived.
+    `stopping` are lost claims for which requests may still be in flight.
+    `floors` are claims that others were told of as released; an older one is never taken.
+    """
+
+    __slots__ = (
+        "own",
+        "timing",
+        "started_ns",
+        "document",
+        "store_version",
+        "indexes",
+        "index_revision",
+        "partitions",
+        "claims_revision",
+        "accepted_claims",
+        "ready_claims",
+        "seen_versions",
+        "releases",
+        "giving",
+        "sending",
+        "stopping",
+        "floors",
+        "membership",
+        "seeds",
+        "applied_version",
+        "store_contact_ns",
+        "lease_until_ns",
+        "lease_source",
+        "announced",
+        "acceptances",
+    )
+
+    def __init__(
+        self, own: pb.Member, timing: Timing, now_ns: int, seeds: Iterable[str] = ()
+    ) -> None:
+        self.own = own
+        self.timing = timing
+        self.started_ns = now_ns
+        self.document = pb.FleetDocument()
+        self.store_version = 0
+        self.indexes: dict[str, pb.ServiceIndex] = {}
+        self.index_revision = 0
+        self.partitions: dict[int, pb.Partition] = {}
+        self.claims_revision = 0
+        self.accepted_claims: dict[int, Claim] = {}
+        self.ready_claims: dict[int, Claim] = {}
+        self.seen_versions: dict[int, int] = {}
+        self.releases: dict[int, set[str]] = {}
+        self.giving: dict[int, Giving] = {}
+        self.sending: dict[int, pb.Partition] = {}
+        self.stopping: dict[int, set[Claim]] = {}
+        self.floors: dict[int, Claim] = {}
+        self.membership = Membership(own, timing.suspect_ns)
+        # Addresses that have neither answered nor refused yet.
+        self.seeds = set(seeds)
+        self.applied_version = 0
+        self.store_contact_ns: int | None = None
+        self.lease_until_ns = NO_LEASE
+        self.lease_source = "none"
+        self.announced = False
+        self.acceptances: dict[int, Acceptance] = {}
+
+    # ---- Document, claims and indexes ------------------------------------
+
+    def adopt_document(self, document: pb.FleetDocument, now_ns: int) -> bool:
+        """Take over a newer document; return whether it was newer."""
+        if document.version <= self.document.version:
+            return False
+        self.document = pb.FleetDocument()
+        self.document.CopyFrom(document)
+        for partition in document.partitions:
+            self._learn_partition(partition, from_document=True)
+            self.membership.learn(partition.holder, now_ns)
+        return True
+
+    def bootstrap(self, document: pb.FleetDocument, now_ns: int) -> None:
+        """Take over the first document, which this process has created."""
+        self.adopt_document(document, now_ns)
+        self.update(now_ns)
+
+    def learn_partitions(self, partitions: Iterable[pb.Partition]) -> bool:
+        """Merge claims from a peer; return whether anything changed."""
+        revision = self.claims_revision
+        for partition in partitions:
+            self._learn_partition(partition, from_document=False)
+        return self.claims_revision != revision
+
+    def _learn_partition(self, partition: pb.Partition, from_document: bool) -> None:
+        number = partition.number
+        current = self.partitions.get(number)
+        if current is None or is_newer(partition, current):
+            self._drop_claim(number)
+            self.partitions[number] = pb.Partition()
+            self.partitions[number].CopyFrom(partition)
+            self.claims_revision += 1
+        elif merge_same_claim(current, partition):
+            self.claims_revision += 1
+        # Only a takeover or the first document makes a process a holder by the document alone; a
+        # transfer does so by its own message.
+        if (
+            from_document
+            and partition.holder.incarnation == self.own.incarnation
+            and partition.transfer == 0
+            and claim_of(partition) == claim_of(self.partitions[number])
+            and number not in self.accepted_claims
+        ):
+            self._accept_claim(number, claim_of(partition))
+
+    def _accept_claim(self, number: int, claim: Claim) -> None:
+        self.accepted_claims[number] = claim
+        self.seen_versions[number] = self.document.version
+        self.releases[number] = set()
+        self.track(self.document.version)
+
+    def _drop_claim(self, number: int) -> None:
+        """Stop using the own claim on a partition, if there is one."""
+        self.giving.pop(number, None)
+        self.sending.pop(number, None)
+        self.seen_versions.pop(number, None)
+        self.releases.pop(number, None)
+        claim = self.accepted_claims.pop(number, None)
+        if claim is not None and self.ready_claims.pop(number, None) is not None:
+            self.stopping.setdefault(number, set()).add(claim)
+
+    def holds(self, number: int) -> bool:
+        """Tell whether this process holds a partition, granted or not."""
+        return number in self.accepted_claims
+
+    def adopt_indexes(self, indexes: Iterable[pb.ServiceIndex]) -> bool:
+        """Take over newer index maps; return whether any was newer."""
+        changed = False
+        for index in indexes:
+            current = self.indexes.get(index.service)
+            if current is None or index.revision > current.revision:
+                self.indexes[index.service] = index
+                self.index_revision = max(self.index_revision, index.revision)
+                changed = True
+        return changed
+
+    # ---- Sync ------------------------------------------------------------
+
+    def make_sync_request(self, incarnation: str) -> pb.SyncRequest:
+        """Return the request to a peer; an empty name stands for an unknown one."""
+        request = pb.SyncRequest(
+            protocol=PROTOCOL,
+            sender=self.own,
+            document_version=self.document.version,
+            index_revision=self.index_revision,
+            applied_version=self.applied_version,
+            known_members=self._known_members(),
+            partitions=self._claims_beyond_document(),
+        )
+        peer = self.membership.peers.get(incarnation)
+        if peer is not None and peer.first_hand and peer.version < self.document.version:
+            request.document.CopyFrom(self.document)
+        return request
+
+    def on_sync_request(self, request: pb.SyncRequest, now_ns: int) -> pb.SyncReply:
+        """Learn from a peer's request and answer it."""
+        self.membership.learn(request.sender, now_ns, first_hand=True)
+        self._learn_message(request, now_ns)
+        peer = self.membership.peers.get(request.sender.incarnation)
+        if peer is not None:
+            peer.version = max(peer.version, request.document_version)
+            peer.applied_version = max(peer.applied_version, request.applied_version)
+        self.update(now_ns)
+        return self._make_sync_reply(request, now_ns)
+
+    def on_sync_reply(
+        self, reply: pb.SyncReply, sent_ns: int, claims_revision: int, now_ns: int
+    ) -> None:
+        """Learn from the reply to a request sent at `sent_ns` with that `claims_revision`."""
+        # Only a reply proves which incarnation is at an address: a request of an earlier one may
+        # have been on its way.
+        self.membership.learn(reply.responder, now_ns, first_hand=True)
+        if reply.responder.incarnation != self.own.incarnation:
+            self.membership.on_answering(reply.responder, now_ns)
+        self._learn_message(reply, now_ns)
+        self.adopt_indexes(reply.indexes)
+        peer = self.membership.peers.get(reply.responder.incarnation)
+        if peer is not None and (peer.answer is None or peer.answer.sent_ns <= sent_ns):
+            peer.answer = make_answer(reply, sent_ns)
+            peer.version = max(peer.version, reply.document_version)
+            peer.applied_version = max(peer.applied_version, reply.applied_version)
+            peer.silent_members = frozenset(reply.silent_members)
+            peer.claims_revision = max(peer.claims_revision, claims_revision)
+        self.seeds.discard(reply.responder.control_address)
+        self.update(now_ns)
+
+    def on_refused(self, address: str, now_ns: int) -> None:
+        """Record that an address refuses connections, so that no process is there."""
+        self.seeds.discard(address)
+        self.membership.on_refused(address, now_ns)
+        self.update(now_ns)
+
+    def _learn_message(self, message: pb.SyncRequest | pb.SyncReply, now_ns: int) -> None:
+        """Merge document, members and claims; the document first, as the claims may rest on it."""
+        if message.HasField("document"):
+            self.adopt_document(message.document, now_ns)
+        for member in message.known_members:
+            self.membership.learn(member, now_ns)
+        self.learn_partitions(message.partitions)
+        for partition in self.partitions.values():
+            self.membership.learn(partition.holder, now_ns)
+
+    def _make_sync_reply(self, request: pb.SyncRequest, now_ns: int) -> pb.SyncReply:
+        contact_ns = self.store_contact_ns
+        reply = pb.SyncReply(
+            protocol=PROTOCOL,
+            responder=self.own,
+            document_version=self.document.version,
+            applied_version=self.applied_version,
+            # Rounded up, so that rounding only shortens the requester's lease.
+            store_age_ms=-1 if contact_ns is None else -((contact_ns - now_ns) // NS_PER_MS),
+            votes=sorted(self.votes()),
+            known_members=self._known_members(),
+            partitions=self._claims_beyond_document(),
+            silent_members=self.membership.silent_names(now_ns),
+            indexes=[
+                index for index in self.indexes.values() if index.revision > request.index_revision
+            ],
+        )
+        if request.document_version < self.document.version:
+            reply.document.CopyFrom(self.document)
+        return reply
+
+    def _known_members(self) -> list[pb.Member]:
+        return [peer.member for peer in self.membership.peers.values() if not peer.dead_ns]
+
+    def _claims_beyond_document(self) -> list[pb.Partition]:
+        written = {partition.number: partition for partition in self.document.partitions}
+        return [
+            partition
+            for number, partition in self.partitions.items()
+            if number not in written or partition != written[number]
+        ]
+
+    # ---- Lease -----------------------------------------------------------
+
+    def votes(self) -> frozenset[int]:
+        """Return the voting partitions that this process holds."""
+        return frozenset(
+            number for number in self.accepted_claims if number < self.document.voter_count
+        )
+
+    def on_store_read(self, version: int, sent_ns: int, now_ns: int) -> None:
+        """Record that the store answered a read sent at `sent_ns` and showed document `version`.
+
+        The caller has adopted a newer document first. An older one means that the store lost
+        writes, and counts as no contact.
+        """
+        if version != self.document.version:
+            return
+        self.store_contact_ns = max(sent_ns, self.store_contact_ns or 0)
+        self.update(now_ns)
+
+    def update(self, now_ns: int) -> None:
+        """Recompute what follows from the knowledge: lease, acceptance, readiness."""
+        self._update_announced(now_ns)
+        self._update_lease(now_ns)
+        self._update_acceptances(now_ns)
+        self._update_claims(now_ns)
+
+    def _update_announced(self, now_ns: int) -> None:
+        """Let the peers know of this process before its first lease.
+
+        Otherwise a change could be accepted by all the members that its author knows, while this
+        process acts on the state before it.
+        """
+        if self.announced or not self.document.version:
+            return
+        living = [peer for peer in self.membership.peers.values() if not peer.dead_ns]
+        answered = [peer for peer in living if peer.answer is not None]
+        waited = now_ns - self.started_ns >= self.timing.suspect_ns
+        if len(answered) == len(living) and not self.seeds:
+            self.announced = True
+        elif waited:
+            self.announced = bool(answered) or not living
+
+    def _update_lease(self, now_ns: int) -> None:
+        if not self.document.version or not self.announced:
+            return
+        timing = self.timing
+        answers = [
+            peer.answer
+            for peer in self.membership.peers.values()
+            if peer.answer is not None and not peer.dead_ns
+        ]
+        store_ns = NO_LEASE
+        if self.store_contact_ns is not None:
+            store_ns = self.store_contact_ns + timing.lease_ns
+        candidates = [
+            ("store", store_ns),
+            ("relay", relay_lease(answers, self.document.version, timing.lease_ns)),
+            ("vote", self._vote_lease(answers, now_ns)),
+        ]
+        source, until_ns = max(candidates, key=lambda candidate: candidate[1])
+        if until_ns > self.lease_until_ns:
+            self.lease_until_ns = until_ns
+            self.lease_source = source
+
+    def _vote_lease(self, answers: list[PeerAnswer], now_ns: int) -> int:
+        contact_ns = self.store_contact_ns
+        if contact_ns is not None and contact_ns > now_ns - self.timing.lease_ns:
+            return NO_LEASE
+        return vote_lease(
+            answers=answers,
+            own_votes=self.votes(),
+            voter_count=self.document.voter_count,
+            version=self.document.version,
+            lease_ns=self.timing.lease_ns,
+            now_ns=now_ns,
+        )
+
+    def is_current(self, now_ns: int) -> bool:
+        """Tell whether the lease is valid."""
+        return now_ns < self.lease_until_ns
+
+    def has_store_contact(self, now_ns: int) -> bool:
+        """Tell whether the store answered within the lease's length."""
+        contact_ns = self.store_contact_ns
+        return contact_ns is not None and contact_ns > now_ns - self.timing.lease_ns
+
+    # ---- Acceptance ------------------------------------------------------
+
+    def track(self, version: int) -> Acceptance:
+        """Follow the acceptance of a version from now on."""
+        return self.acceptances.setdefault(version, Acceptance(version))
+
+    def _update_acceptances(self, now_ns: int) -> None:
+        for acceptance in self.acceptances.values():
+            if acceptance.accepted_ns:
+                continue
+            if not acceptance.quorum_ns and self._has_quorum(acceptance.version):
+                acceptance.quorum_ns = now_ns
+            if acceptance.quorum_ns and not self.unconfirmed(acceptance, now_ns):
+                acceptance.accepted_ns = now_ns
+        needed = set(self.seen_versions.values())
+        for version in [
+            version
+            for version, acceptance in self.acceptances.items()
+            if acceptance.accepted_ns
+            and version not in needed
+            and now_ns - acceptance.accepted_ns > FORGET_DEAD_NS
+        ]:
+            del self.acceptances[version]
+
+    def _has_quorum(self, version: int) -> bool:
+        missing = count_missing_votes(
+            partitions=self.partitions,
+            voter_count=self.document.voter_count,
+            membership=self.membership,
+            own_version=self.document.version,
+            version=version,
+        )
+        return has_quorum(missing, self.document.voter_count)
+
+    def unconfirmed(self, acceptance: Acceptance, now_ns: int) -> list[str]:
+        """Return the instances that may still act on a state before the version."""
+        if acceptance.quorum_ns and self._lease_lapsed(acceptance.quorum_ns, now_ns):
+            return []
+        names = [
+            peer.member.instance
+            for peer in self.membership.peers.values()
+            if not is_confirmed(peer, acceptance.version)
+            # A dead control process extends no lease.
+            and not (peer.dead_ns and self._lease_lapsed(peer.dead_ns, now_ns))
+        ]
+        if self.applied_version < acceptance.version:
+            names.append(self.own.instance)
+        return sorted(set(names))
+
+    def _lease_lapsed(self, since_ns: int, now_ns: int) -> bool:
+        """Tell whether every lease that was running at `since_ns` has lapsed."""
+        return now_ns - since_ns >= self.timing.lease_ns + self.timing.margin_ns
+
+    # ---- Grants and the wait of a new holder -----------------------------
+
+    def grants(self) -> list[pb.PartitionGrant]:
+        """Return the partitions that the dispatch process may send to."""
+        return [
+            pb.PartitionGrant(
+                number=number,
+                term=claim[0],
+                transfer=claim[1],
+                reserve=len(self.partitions[number].unresolved_holders),
+            )
+            for number, claim in sorted(self.ready_claims.items())
+            if number not in self.giving
+        ]
+
+    def waiting_claims(self) -> list[pb.PartitionClaim]:
+        """Return the own claims whose previous holders are not all known to have stopped."""
+        return [
+            make_claim(number, claim, self.own.incarnation)
+            for number, claim in sorted(self.accepted_claims.items())
+            if number not in self.ready_claims or self.partitions[number].unresolved_holders
+        ]
+
+    def peers_to_ask(self) -> list[str]:
+        """Return the members that have not released all waiting claims."""
+        waiting = self.waiting_claims()
+        return [
+            name
+            for name, peer in self.membership.peers.items()
+            if not peer.dead_ns
+            and any(name not in self.releases[claim.number] for claim in waiting)
+        ]
+
+    def on_release_reply(
+        self,
+        incarnation: str,
+        asked: Iterable[pb.PartitionClaim],
+        released: Iterable[int],
+        now_ns: int,
+    ) -> None:
+        """Record which of the asked claims a member has released."""
+        released = set(released)
+        for claim in asked:
+            if claim.number in released and self.accepted_claims.get(claim.number) == claim_of(
+                claim
+            ):
+                self.releases[claim.number].add(incarnation)
+        self.update(now_ns)
+
+    def _update_claims(self, now_ns: int) -> None:
+        for number, claim in self.accepted_claims.items():
+            partition = self.partitions[number]
+            if number in self.ready_claims and not partition.unresolved_holders:
+                continue
+            if self.stopping.get(number):
+                # An earlier own claim is still in use.
+                continue
+            everyone = all(
+                name in self.releases[number] or self._has_stopped(peer, now_ns)
+                for name, peer in self.membership.peers.items()
+            )
+            if everyone:
+                self._resolve_holders(partition, now_ns)
+            if everyone or self._is_accepted_and_over(self.seen_versions[number], now_ns):
+                self.ready_claims[number] = claim
+
+    def _resolve_holders(self, partition: pb.Partition, now_ns: int) -> None:
+        """Drop the previous holders that can send nothing at all any more."""
+        kept = [
+            name
+            for name in partition.unresolved_holders
+            if not self._is_resolved(partition.number, name, now_ns)
+        ]
+        if len(kept) < len(partition.unresolved_holders):
+            del partition.unresolved_holders[:]
+            partition.unresolved_holders.extend(kept)
+            self.claims_revision += 1
+
+    def _is_resolved(self, number: int, incarnation: str, now_ns: int) -> bool:
+        if incarnation in self.releases[number] or incarnation in self.membership.dead:
+            return True
+        if incarnation == self.own.incarnation:
+            return True
+        peer = self.membership.peers.get(incarnation)
+        return peer is not None and self._is_dispatch_over(peer, now_ns)
+
+    def _is_dispatch_over(self, peer: Peer, now_ns: int) -> bool:
+        """Tell whether no dispatch process of a member runs and its requests have ended."""
+        gone_ns = peer.dispatch_gone_ns
+        return bool(gone_ns) and now_ns - gone_ns >= self.timing.max_request_ns
+
+    def _has_stopped(self, peer: Peer, now_ns: int) -> bool:
+        """Tell whether a dead member has nothing in flight and starts nothing.
+
+        A frozen dispatch process may still send one request; the reserve covers it.
+        """
+        if not peer.dead_ns:
+            return False
+        over = peer.dead_ns + self.timing.max_request_ns
+        return self._is_dispatch_over(peer, now_ns) or self._lease_lapsed(over, now_ns)
+
+    def _is_accepted_and_over(self, version: int, now_ns: int) -> bool:
+        accepted_ns = self.track(version).accepted_ns
+        return bool(accepted_ns) and now_ns - accepted_ns >= self.timing.max_request_ns
+
+    # ---- Release ---------------------------------------------------------
+
+    def on_release_request(self, claims: Iterable[pb.PartitionClaim]) -> pb.ReleaseReply:
+        """Answer a new holder: which partitions this process neither holds nor uses."""
+        released = []
+        for claim in claims:
+            if self._has_released(claim):
+                self.floors[claim.number] = max(
+                    claim_of(claim), self.floors.get(claim.number, (0, 0))
+                )
+                released.append(claim.number)
+        return pb.ReleaseReply(incarnation=self.own.incarnation, released=released)
+
+    def _has_released(self, claim: pb.PartitionClaim) -> bool:
+        if claim.number in self.accepted_claims or self.stopping.get(claim.number):
+            return False
+        current = self.partitions.get(claim.number)
+        return current is None or claim_of(current) <= claim_of(claim)
+
+    def drain_claims(self) -> list[pb.PartitionClaim]:
+        """Return the claims that local dispatch processes must stop using."""
+        claims = [
+            make_claim(number, giving.claim, self.own.incarnation)
+            for number, giving in self.giving.items()
+        ]
+        claims.extend(
+            make_claim(number, claim, self.own.incarnation)
+            for number, lost in self.stopping.items()
+            for claim in lost
+        )
+        return claims
+
+    def on_drained(self, claim: pb.PartitionClaim, confirmed: bool, now_ns: int) -> None:
+        """Record that nothing is in flight for a claim.
+
+        Not `confirmed` means that the dispatch process is lost and its lease and requests have
+        lapsed. It may still send one request if it is frozen, so this process stays unresolved.
+        """
+        number = claim.number
+        if confirmed and number in self.stopping:
+            self.stopping[number].discard(claim_of(claim))
+            if not self.stopping[number]:
+                del self.stopping[number]
+        giving = self.giving.get(number)
+        if giving is not None and giving.claim == claim_of(claim):
+            self._give_up(number, giving, confirmed, now_ns)
+        self.update(now_ns)
+
+    # ---- Transfer --------------------------------------------------------
+
+    def start_giving(self, number: int, receiver: str) -> bool:
+        """Stop sending for a partition, in order to transfer it once it is drained."""
+        if not self.holds(number) or number in self.giving or receiver not in self.membership.peers:
+            return False
+        self.giving[number] = Giving(self.accepted_claims[number], receiver)
+        return True
+
+    def cancel_giving(self, number: int) -> None:
+        """Keep a partition that is being drained, under a new claim.
+
+        The old claim may be reported as drained at any time, so it is not granted again.
+        """
+        giving = self.giving.pop(number, None)
+        if giving is None:
+            return
+        ready = number in self.ready_claims
+        self._raise_own_claim(number, ready)
+
+    def _raise_own_claim(self, number: int, ready: bool) -> None:
+        partition = self.partitions[number]
+        partition.transfer += 1
+        self.claims_revision += 1
+        claim = claim_of(partition)
+        self.accepted_claims[number] = claim
+        self.releases.setdefault(number, set())
+        self.seen_versions.setdefault(number, self.document.version)
+        self.ready_claims.pop(number, None)
+        if ready:
+            self.ready_claims[number] = claim
+
+    def _give_up(self, number: int, giving: Giving, confirmed: bool, now_ns: int) -> None:
+        peer = self.membership.peers.get(giving.receiver)
+        reached = peer is not None and self.membership.is_reached(peer, now_ns)
+        if not reached or peer.member.leaving or peer.member.dispatch_down:
+            self.cancel_giving(number)
+            return
+        ready = number in self.ready_claims
+        partition = pb.Partition()
+        partition.CopyFrom(self.partitions[number])
+        partition.transfer += 1
+        partition.holder.CopyFrom(peer.member)
+        if self._must_wait(number, confirmed, ready) and (
+            self.own.incarnation not in partition.unresolved_holders
+        ):
+            partition.unresolved_holders.append(self.own.incarnation)
+        if confirmed:
+            self.ready_claims.pop(number, None)
+        self._learn_partition(partition, from_document=False)
+        self.sending[number] = partition
+
+    def _must_wait(self, number: int, confirmed: bool, ready: bool) -> bool:
+        """Tell whether the receiver has to resolve previous holders before it sends."""
+        return not confirmed or not ready or bool(self.stopping.get(number))
+
+    def on_transfer_request(self, request: pb.TransferRequest, now_ns: int) -> pb.TransferReply:
+        """Take over partitions from a peer, or refuse all of them for good."""
+        refusal = self._find_transfer_refusal(request)
+        if refusal:
+            return pb.TransferReply(refusal=refusal)
+        if request.HasField("document"):
+            self.adopt_document(request.document, now_ns)
+        accepted = []
+        for partition in request.partitions:
+            self._take_partition(partition)
+            accepted.append(partition.number)
+        self.membership.learn(request.giver, now_ns, first_hand=True)
+        self.update(now_ns)
+        return pb.TransferReply(accepted=accepted)
+
+    def _find_transfer_refusal(self, request: pb.TransferRequest) -> str:
+        """Return why a transfer is refused; every reason holds for good.
+
+        A repeated request that was accepted before is never refused: the giver takes a refused
+        partition back.
+        """
+        if request.protocol != PROTOCOL:
+            return "protocol"
+        if any(item.holder.incarnation != self.own.incarnation for item in request.partitions):
+            return "other_incarnation"
+        known = all(not self._is_unknown(partition) for partition in request.partitions)
+        if self.own.leaving and not known:
+            return "leaving"
+        return ""
+
+    def _is_unknown(self, partition: pb.Partition) -> bool:
+        claim = claim_of(partition)
+        current = self.partitions.get(partition.number)
+        if current is not None and claim_of(current) > claim:
+            return False
+        return self.accepted_claims.get(partition.number) != claim
+
+    def _take_partition(self, partition: pb.Partition) -> None:
+        """Accept a claim, unless it is known already or superseded."""
+        number = partition.number
+        claim = claim_of(partition)
+        if not self._is_unknown(partition) or claim < self.floors.get(number, (0, 0)):
+            return
+        self._learn_partition(partition, from_document=False)
+        self._accept_claim(number, claim)
+        if not partition.unresolved_holders and not self.stopping.get(number):
+            self.ready_claims[number] = claim
+
+    def on_transfer_reply(
+        self, reply: pb.TransferReply, sent: Iterable[pb.Partition], now_ns: int
+    ) -> None:
+        """Finish transfers that were accepted, and take back those that were refused."""
+        for partition in sent:
+            number = partition.number
+            current = self.sending.get(number)
+            if current is None or claim_of(current) != claim_of(partition):
+                continue
+            if number in reply.accepted:
+                del self.sending[number]
+            elif reply.refusal == "leaving":
+                self._take_back(number)
+        self.update(now_ns)
+
+    def _take_back(self, number: int) -> None:
+        """Hold a partition again that a leaving receiver has refused for good."""
+        del self.sending[number]
+        partition = self.partitions[number]
+        partition.holder.CopyFrom(self.own)
+        self._raise_own_claim(number, ready=not partition.unresolved_holders)
+
+    def transfers_to_send(self) -> dict[str, list[pb.Partition]]:
+        """Return the partitions that were given up and not yet answered, by receiver."""
+        by_receiver: dict[str, list[pb.Partition]] = {}
+        for partition in self.sending.values():
+            peer = self.membership.peers.get(partition.holder.incarnation)
+            if peer is not None and not peer.dead_ns:
+                by_receiver.setdefault(partition.holder.incarnation, []).append(partition)
+        return by_receiver
+
+    # ---- Balance ---------------------------------------------------------
+
+    def domains_of_holders(self, now_ns: int) -> dict[str, str]:
+        """Return the failure domains of the members that may hold partitions."""
+        members = [peer.member for peer in self.membership.reached(now_ns)]
+        members.append(self.own)
+        return {
+            member.incarnation: member.failure_domain
+            for member in members
+            if not member.leaving and not member.dispatch_down
+        }
+
+    def plan_gifts(self, now_ns: int) -> list[tuple[int, str]]:
+        """Return (partition, receiver) for the partitions that this process should give away."""
+        domains = self.domains_of_holders(now_ns)
+        holders = {
+            number: partition.holder.incarnation for number, partition in self.partitions.items()
+        }
+        own = self.own.incarnation
+        others = {name: domain for name, domain in domains.items() if name != own}
+        if own not in domains and others:
+            counts = dict.fromkeys(others, 0)
+            for holder in holders.values():
+                if holder in counts:
+                    counts[holder] += 1
+            return self._spread_own(counts, others)
+        return [
+            (number, receiver)
+            for number, receiver in plan_balance(holders, domains, self.document.failure_domains)
+            if self.holds(number) and number in self.ready_claims and number not in self.giving
+        ]
+
+    def _spread_own(self, counts: dict[str, int], domains: dict[str, str]) -> list[tuple[int, str]]:
+        for giving in self.giving.values():
+            if giving.receiver in counts:
+                counts[giving.receiver] += 1
+        numbers = [number for number in self.accepted_claims if number not in self.giving]
+        return sorted(spread(numbers, counts, domains, self.document.failure_domains).items())
+
+    # ---- Departure -------------------------------------------------------
+
+    def has_spread_claims(self, now_ns: int) -> bool:
+        """Tell whether all reached peers know the transfers of this process."""
+        return all(
+            peer.claims_revision >= self.claims_revision for peer in self.membership.reached(now_ns)
+        )
+
+    # ---- Forgetting ------------------------------------------------------
+
+    def forget_members(self, now_ns: int, vanished: Iterable[str] = ()) -> None:
+        """Drop members that hold nothing and are dead, and `vanished` ones.
+
+        `vanished` are incarnations that have been silent for long and that the platform lists no
+        more.
+        """
+        for name in vanished:
+            peer = self.membership.peers.get(name)
+            if peer is not None and self.membership.is_silent(peer, now_ns):
+                self.membership.mark_dead(name, now_ns)
+                peer.dispatch_gone_ns = peer.dispatch_gone_ns or now_ns
+                peer.refusing |= {*peer.member.dispatch_addresses, peer.member.entry_address}
+        needed = {partition.holder.incarnation for partition in self.partitions.values()}
+        for partition in self.partitions.values():
+            needed.update(partition.unresolved_holders)
+        self.membership.forget(
+            [
+                name
+                for name, peer in self.membership.peers.items()
+                if peer.dead_ns and now_ns - peer.dead_ns > FORGET_DEAD_NS and name not in needed
+            ]
+        )
+
+
+def make_answer(reply: pb.SyncReply, sent_ns: int) -> PeerAnswer:
+    """Return what a Sync reply proves about the peer's state."""
+    contact_ns = None
+    if reply.store_age_ms >= 0:
+        contact_ns = sent_ns - reply.store_age_ms * NS_PER_MS
+    return PeerAnswer(
+        sent_ns=sent_ns,
+        version=reply.document_version,
+        store_contact_ns=contact_ns,
+        votes=frozenset(reply.votes),
+    )
+
+
+def make_claim(number: int, claim: Claim, incarnation: str) -> pb.PartitionClaim:
+    """Return the message form of a claim."""
+    return pb.PartitionClaim(
+        number=number, term=claim[0], transfer=claim[1], incarnation=incarnation
+    )
--- /dev/null
+++ b/flamingostack/fleet/takeover.py
@@ -0,0 +1,94 @@
+"""Planning of takeovers: whose partitions are lost, who writes, and who holds them next."""
+
+from __future__ import annotations
+
+from ..generated import messages_pb2 as pb
+from .node import Node
+from .partitions import majority_of, spread
+
+
+def find_lost_holders(node: Node, now_ns: int) -> set[str]:
+    """Return the holders that are dead, or silent to a majority of the reached members."""
+    holders = {partition.holder.incarnation for partition in node.partitions.values()}
+    membership = node.membership
+    return {
+        name
+        for name in holders
+        if name in membership.dead or membership.is_silent_to_majority(name, now_ns)
+    }
+
+
+def reaches_enough_voters(node: Node, now_ns: int) -> bool:
+    """Tell whether the votes that are neither reached nor known to be dead are a minority."""
+    membership = node.membership
+    counted = {peer.member.incarnation for peer in membership.reached(now_ns)}
+    counted.update(name for name, peer in membership.peers.items() if peer.dead_ns)
+    counted.update(membership.dead)
+    counted.add(node.own.incarnation)
+    voter_count = node.document.voter_count
+    missing = sum(
+        number not in node.partitions or node.partitions[number].holder.incarnation not in counted
+        for number in range(voter_count)
+    )
+    return missing < majority_of(voter_count)
+
+
+def is_coordinator(node: Node, now_ns: int) -> bool:
+    """Tell whether this process is the first of the live ones in contact with the store."""
+    if not node.has_store_contact(now_ns) or not node.is_current(now_ns):
+        return False
+    return not any(
+        name < node.own.incarnation
+        and peer.answer is not None
+        and peer.answer.store_contact_ns is not None
+        and peer.answer.store_contact_ns > now_ns - node.timing.lease_ns
+        for name, peer in node.membership.peers.items()
+        if node.membership.is_reached(peer, now_ns)
+    )
+
+
+def plan_takeover(node: Node, now_ns: int) -> list[pb.Partition]:
+    """Return the next claims for the partitions of lost holders; empty if there is none to write.
+
+    The previous holder stays unresolved until it is known to have stopped.
+    """
+    if not is_coordinator(node, now_ns) or not reaches_enough_voters(node, now_ns):
+        return []
+    lost = find_lost_holders(node, now_ns)
+    numbers = [
+        number
+        for number, partition in node.partitions.items()
+        if partition.holder.incarnation in lost
+    ]
+    receivers = _members_by_name(node, now_ns)
+    counts = dict.fromkeys(receivers, 0)
+    for partition in node.partitions.values():
+        if partition.holder.incarnation in counts:
+            counts[partition.holder.incarnation] += 1
+    domains = {name: member.failure_domain for name, member in receivers.items()}
+    assigned = spread(numbers, counts, domains, node.document.failure_domains)
+    return [
+        make_next_claim(node.partitions[number], receivers[receiver])
+        for number, receiver in assigned.items()
+    ]
+
+
+def make_next_claim(partition: pb.Partition, holder: pb.Member) -> pb.Partition:
+    """Return the claim of the next term, with the previous holder unresolved."""
+    unresolved = list(partition.unresolved_holders)
+    if partition.holder.incarnation not in unresolved:
+        unresolved.append(partition.holder.incarnation)
+    return pb.Partition(
+        number=partition.number,
+        term=partition.term + 1,
+        holder=holder,
+        unresolved_holders=[name for name in unresolved if name != holder.incarnation],
+    )
+
+
+def _members_by_name(node: Node, now_ns: int) -> dict[str, pb.Member]:
+    """Return the members that may hold partitions; the own one if there is no other."""
+    names = node.domains_of_holders(now_ns) or {node.own.incarnation: ""}
+    members = {peer.member.incarnation: peer.member for peer in node.membership.reached(now_ns)}
+    members[node.own.incarnation] = node.own
+    return {name: members[name] for name in names}
--- a/flamingostack/state.py
+++ b/flamingostack/state.py
@@ -7,7 +7,7 @@
 
 from google.protobuf.message import Message
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from reactivex.subject import BehaviorSubject
 
 from .environment import Environment
@@ -21,6 +21,8 @@
 
 PROTOCOL = 1
 RECONNECT_S = 0.1
+# ProtocolError: the control process ended the stream first.
+CONNECTION_ERRORS = (TimeoutError, OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
 class TargetInfo:
@@ -142,7 +144,7 @@
         while True:
             try:
                 await self._follow()
-            except (TimeoutError, OSError, GRPCError, StreamTerminatedError) as error:
+            except CONNECTION_ERRORS as error:
                 self.environment.log.warning("control_connection_lost", reason=repr(error))
             await asyncio.sleep(RECONNECT_S)
 
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,240 @@
+"""Control processes in one event loop, each with a local dispatch process that only drains."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import structlog
+
+from flamingostack.clock import boottime_ns
+from flamingostack.control.main import ControlProcess
+from flamingostack.environment import Environment
+from flamingostack.generated import messages_pb2 as pb
+from flamingostack.settings import parse_settings
+from flamingostack.state import FleetView, StateFeed
+from tests.control.fakes import FakeStore
+
+SETTINGS = """
+[instance]
+id = "{id}"
+failure_domain = "{domain}"
+[control]
+listen = "127.0.0.1:{control}"
+peers = [{peers}]
+shutdown_ms = 3000
+[dispatch]
+listen = "127.0.0.1:{dispatch}"
+[entry]
+listen = "127.0.0.1:{entry}"
+[store]
+url = "{store}"
+timeout_ms = 200
+[fleet]
+lease_ms = 600
+lease_margin_ms = 50
+sync_ms = 60
+suspect_ms = 300
+max_request_ms = 150
+partition_count = 12
+voter_count = 12
+failure_domains = ["a", "b", "c"]
+"""
+
+PRESET = b'name = "ordinary"\n[classes.enquiry]\nservice = "search"\ndeadline_ms = 1000\n'
+
+
+INDEX = pb.ServiceIndex(
+    service="search",
+    keyspace=100,
+    targets=[pb.Target(id="t1", address="127.0.0.1:1", failure_domain="a", slots=2)],
+)
+
+
+class Instance:
+    """A control process, and a follower that reports each revoked claim as drained."""
+
+    def __init__(self, name: str, ports: list[int], store: str, peers: list[str]) -> None:
+        text = SETTINGS.format(
+            id=name,
+            domain=name[0],
+            control=ports[0],
+            dispatch=ports[1],
+            entry=ports[2],
+            store=store,
+            peers=", ".join(f'"{peer}"' for peer in peers),
+        )
+        self.text = text
+        settings = parse_settings(text.encode(), source="test")
+        log = structlog.wrap_logger(structlog.PrintLogger(), processors=[drop_event])
+        self.address = settings.control.listen
+        self.environment = Environment(settings, log, boottime_ns, f"{name}-{ports[0]}")
+        self.process = ControlProcess(self.environment)
+        self.node = self.process.controller.node
+        self.feed = StateFeed(self.environment, "dispatch")
+        self.granted: dict[int, pb.PartitionGrant] = {}
+        self.undrained: list[pb.PartitionClaim] = []
+        self.keeps_undrained = False
+        self.feed.views.subscribe(self.drain)
+        self.serving: asyncio.Task | None = None
+        self.following: asyncio.Task | None = None
+
+    def drain(self, view: FleetView) -> None:
+        lost = [
+            grant
+            for number, grant in self.granted.items()
+            if key(grant) != key(view.grants_by_partition.get(number))
+        ]
+        self.granted = dict(view.grants_by_partition)
+        self.undrained += [
+            pb.PartitionClaim(number=item.number, term=item.term, transfer=item.transfer)
+            for item in lost
+        ]
+        if self.undrained and not self.keeps_undrained:
+            self.report_undrained()
+
+    def report_undrained(self) -> None:
+        self.feed.report_drained(self.undrained)
+        self.undrained = []
+
+    def start(self) -> None:
+        self.serving = asyncio.create_task(self.process.serve())
+        self.following = asyncio.create_task(self.feed.run())
+
+    async def stop(self) -> None:
+        """Shut down gracefully; the dispatch process has no work left."""
+        self.feed.report_shutdown(finished=True)
+        self.process.stop()
+        await self.serving
+        await self.kill()
+
+    async def kill(self) -> None:
+        for task in (self.serving, self.following):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+
+
+class SeparateInstance(Instance):
+    """An instance whose control process is a process of its own, so that it can be killed."""
+
+    def start(self) -> None:
+        self.directory = tempfile.TemporaryDirectory()
+        path = Path(self.directory.name, "settings.toml")
+        path.write_text(self.text)
+        command = [sys.executable, "-m", "flamingostack.control", "--settings", str(path)]
+        self.child = subprocess.Popen(command, stderr=subprocess.DEVNULL)
+        self.following = asyncio.create_task(self.feed.run())
+
+    def freeze(self) -> None:
+        self.child.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        self.child.send_signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        self.child.kill()
+        self.child.wait()
+        self.directory.cleanup()
+        await super().kill()
+
+
+class Cluster:
+    """Instances with a fake store."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.instances: dict[str, Instance] = {}
+
+    async def start(self, *names: str) -> None:
+        await self.store.start()
+        for name in names:
+            self.add(name)
+
+    def add(self, name: str, kind: type[Instance] = Instance) -> Instance:
+        peers = [item.address for item in self.instances.values()]
+        instance = kind(name, find_ports(3), self.store.url, peers)
+        self.instances[name] = instance
+        instance.start()
+        return instance
+
+    async def stop(self) -> None:
+        for instance in self.instances.values():
+            await instance.kill()
+        await self.store.stop()
+
+    async def operate(self, name: str, wait_ms: int = 3000, **request) -> pb.OperateReply:
+        message = pb.OperateRequest(protocol=1, operator="ann", wait_ms=wait_ms, **request)
+        return await self.instances[name].process.service.operations.operate(message)
+
+    def holders(self) -> dict[int, list[str]]:
+        """Return the instances with a live grant, by partition."""
+        holders: dict[int, list[str]] = {number: [] for number in range(12)}
+        for name, instance in self.instances.items():
+            if instance.feed.is_current():
+                for number in instance.feed.view.grants_by_partition:
+                    holders[number].append(name)
+        return holders
+
+    def counts(self) -> dict[str, int]:
+        counts = dict.fromkeys(self.instances, 0)
+        for names in self.holders().values():
+            for name in names:
+                counts[name] += 1
+        return counts
+
+    def is_served(self) -> bool:
+        return all(len(names) == 1 for names in self.holders().values())
+
+
+class ClusterTest(unittest.IsolatedAsyncioTestCase):
+    """Base: a cluster that is stopped after the test."""
+
+    async def asyncSetUp(self):
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.stop)
+
+    async def start(self, *names: str):
+        await self.cluster.start(*names)
+        await until(lambda: self.is_balanced(names))
+
+    def is_balanced(self, names) -> bool:
+        counts = self.cluster.counts()
+        return self.cluster.is_served() and all(counts[n] == 12 // len(names) for n in names)
+
+    async def use_preset(self, **request) -> pb.OperateReply:
+        await self.cluster.store.put("presets/ordinary", PRESET)
+        request.setdefault("change_id", "c1")
+        name = next(iter(self.cluster.instances))
+        return await self.cluster.operate(name, use_preset=pb.UsePreset(name="ordinary"), **request)
+
+
+async def until(condition, timeout_s: float = 5) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def key(grant: pb.PartitionGrant | None) -> tuple[int, int] | None:
+    return grant and (grant.term, grant.transfer)
+
+
+def find_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def drop_event(logger, name, event):
+    raise structlog.DropEvent
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -41,6 +41,9 @@
         self.url = f"http://127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
+        self.down = True
+        async with self.changed:
+            self.changed.notify_all()
         await self.runner.cleanup()
 
     async def put(self, key: str, value: bytes | None) -> int:
@@ -52,7 +55,8 @@
 
     def fail_if_down(self, request: web.Request) -> None:
         if self.down:
-            request.transport.close()
+            if request.transport is not None:
+                request.transport.close()
             raise web.HTTPServiceUnavailable
 
     async def get(self, request: web.Request) -> web.Response:
@@ -97,7 +101,7 @@
 
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.query["wait_ms"]) / 1000), self.changed:
-                await self.changed.wait_for(find)
+                await self.changed.wait_for(lambda: self.down or find())
         self.fail_if_down(request)
         return web.json_response({"revision": self.revision, "objects": find()})
 
