Test at most one run for each Idempotency-Key

Cause: submits were written but not tested.

Change: tests run two attempts at one key through every interleaving of their store calls and sends with up to two faults (lost before or after the effect, taking effect late, store down, crash, deadline passed, send refused or unknown), then a third attempt without faults.

--- /dev/null
+++ b/tests/entry/test_once.py
@@ -0,0 +1,333 @@
+"""Tests of at most one run for each Idempotency-Key."""
+
+import asyncio
+import json
+import types
+import unittest
+
+from flamingostack.entry.once import OnceAnswer, Submission, decode_record, make_body_hash
+from flamingostack.entry.refusals import EntryReason
+from flamingostack.entry.single import SendKind, SendOutcome
+from flamingostack.generated import messages_pb2 as pb
+from flamingostack.store import StoreFailure, StoreReason
+from tests.entry.fakes import Bed, FakeStore, answer, refuse
+
+KEY = "once/k"
+MAX_FAULTS = 2
+MAX_PAUSES = 3
+WRITE_FAULTS = ("lost_before", "lost_after", "late", "down")
+FAULTS_BY_OPERATION = {
+    "create": WRITE_FAULTS,
+    "replace": WRITE_FAULTS,
+    "delete": WRITE_FAULTS,
+    "get": ("down",),
+    "send": ("not_run", "unknown_ran", "unknown_not_run"),
+}
+
+
+class Chooser:
+    """Replays a list of choices, takes the first option after its end, and yields the next."""
+
+    def __init__(self, choices: list[int]) -> None:
+        self.choices = choices
+        self.widths: list[int] = []
+
+    def choose(self, options: list):
+        place = len(self.widths)
+        self.widths.append(len(options))
+        if place == len(self.choices):
+            self.choices.append(0)
+        return options[self.choices[place]]
+
+    def next_choices(self) -> list[int] | None:
+        choices = self.choices[: len(self.widths)]
+        while choices and choices[-1] + 1 == self.widths[len(choices) - 1]:
+            choices.pop()
+        return choices[:-1] + [choices[-1] + 1] if choices else None
+
+
+@types.coroutine
+def scheduled(name: str, act):
+    """Hand an operation to the scheduler and return what it answers."""
+    return (yield name, act)
+
+
+class ScheduledStore(FakeStore):
+    """A store whose operations take effect when the scheduler says so."""
+
+    async def get(self, key):
+        return await scheduled("get", lambda: self.do_get(key))
+
+    async def create(self, key, value):
+        return await scheduled("create", lambda: self.do_write(key, value, 0))
+
+    async def replace(self, key, value, version):
+        return await scheduled("replace", lambda: self.do_write(key, value, version))
+
+    async def delete(self, key, version):
+        return await scheduled("delete", lambda: self.do_delete(key, version))
+
+
+class Process:
+    """One entry process that handles one attempt of the caller."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.answers: list[OnceAnswer] = []
+        self.runs = 0
+        self.pauses = 0
+        self.is_crashed = False
+        self.submission = Submission(
+            store=world.store,
+            key=KEY,
+            attempt=name,
+            body_hash="same",
+            send=lambda: scheduled("send", self.run_at_target),
+            pause=self.pause,
+            answer=self.take_answer,
+        )
+        self.coroutine = self.submission.run()
+        self.operation = None
+        self.resume(None)
+
+    def take_answer(self, given: OnceAnswer) -> None:
+        self.answers.append(given)
+        if given.reason is EntryReason.OVERLOADED:
+            # "Not run" may be said only once the own record is gone.
+            found = self.world.store.objects.get(KEY)
+            assert found is None or decode_record(found.value).attempt != self.name
+
+    async def pause(self, _tries: int) -> bool:
+        self.pauses += 1
+        return self.pauses <= MAX_PAUSES
+
+    def run_at_target(self) -> SendOutcome:
+        self.runs += 1
+        return SendOutcome(SendKind.RAN, body=b'"%s"' % self.name.encode())
+
+    def resume(self, result) -> None:
+        try:
+            self.operation = self.coroutine.send(result)
+        except StopIteration:
+            self.operation = None
+
+    def step(self, fault: str) -> None:
+        _, act = self.operation
+        match fault:
+            case "":
+                result = act()
+            case "crash":
+                self.is_crashed = True
+                self.operation = None
+                self.coroutine.close()
+                return
+            case "deadline":
+                if not self.answers:
+                    self.answers.append(self.submission.answer_at_deadline())
+                    self.submission._is_answered = True
+                return
+            case "down":
+                result = StoreFailure(StoreReason.UNAVAILABLE)
+            case "lost_after":
+                act()
+                result = StoreFailure(StoreReason.OUTCOME_UNKNOWN)
+            case "late":
+                self.world.late.append(act)
+                result = StoreFailure(StoreReason.OUTCOME_UNKNOWN)
+            case "lost_before":
+                result = StoreFailure(StoreReason.OUTCOME_UNKNOWN)
+            case "not_run":
+                result = SendOutcome(SendKind.NOT_RUN)
+            case _:
+                if fault == "unknown_ran":
+                    act()
+                result = SendOutcome(SendKind.UNKNOWN)
+        self.resume(result)
+
+
+class World:
+    """One run of two processes, with faults chosen by the search."""
+
+    def __init__(self, chooser: Chooser) -> None:
+        self.chooser = chooser
+        self.store = ScheduledStore()
+        self.late: list = []
+        self.faults = 0
+        self.processes = [Process(self, "p"), Process(self, "q")]
+
+    def run(self) -> None:
+        while True:
+            options = [
+                (process, fault)
+                for process in self.processes
+                if process.operation
+                for fault in self.faults_of(process)
+            ]
+            if not options:
+                break
+            options += [(None, act) for act in self.late]
+            process, fault = self.chooser.choose(options)
+            if process is None:
+                self.late.remove(fault)
+                fault()
+            else:
+                self.faults += fault != ""
+                process.step(fault)
+        for act in self.late:
+            act()
+
+    def faults_of(self, process: Process) -> tuple[str, ...]:
+        if self.faults >= MAX_FAULTS:
+            return ("",)
+        deadline = () if process.answers else ("deadline",)
+        return ("", "crash", *deadline, *FAULTS_BY_OPERATION[process.operation[0]])
+
+
+class InterleavingsTest(unittest.TestCase):
+    """Guards against a second run and an untrue answer, whatever is lost and in which order."""
+
+    def check(self, world: World) -> None:
+        trail = world.chooser.choices
+        runs = sum(process.runs for process in world.processes)
+        self.assertLessEqual(runs, 1, trail)
+        for process in world.processes:
+            self.assertTrue(process.is_crashed or process.answers, trail)
+            for item in process.answers:
+                if item.reason is None:
+                    self.assertEqual(runs, 1, trail)
+                elif item.reason.ran == "not_run":
+                    self.assertEqual(process.runs, 0, trail)
+        self.check_third_attempt(world, runs)
+
+    def check_third_attempt(self, world: World, runs: int) -> None:
+        third = Process(world, "r")
+        while third.operation:
+            third.step("")
+        self.assertLessEqual(runs + third.runs, 1, world.chooser.choices)
+        reason = third.answers[0].reason
+        if not world.faults:
+            self.assertIsNone(reason, world.chooser.choices)
+        if reason is None:
+            body = json.loads(third.answers[0].body)
+            ran = [item.name for item in (*world.processes, third) if item.runs]
+            self.assertEqual([body], ran, world.chooser.choices)
+
+    def test_every_interleaving_of_two_processes_with_two_faults(self):
+        choices: list[int] | None = []
+        count = 0
+        while choices is not None:
+            chooser = Chooser(choices)
+            world = World(chooser)
+            world.run()
+            self.check(world)
+            choices = chooser.next_choices()
+            count += 1
+        self.assertGreater(count, 10_000)
+
+
+class SubmitTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against submits that run twice, get lost, or are refused with a wrong `ran`."""
+
+    async def test_second_attempt_gets_the_recorded_outcome(self):
+        async with Bed() as bed:
+            status, first = await bed.submit()
+            self.assertEqual((status, first["ran"]), (200, "ran"))
+            status, second = await bed.submit()
+            self.assertEqual((status, second["outcome"]), (200, first["outcome"]))
+            self.assertTrue(second["recorded_earlier"])
+            self.assertEqual(len(bed.requests), 1)
+            self.assertTrue(bed.requests[0].once_key)
+
+    async def test_other_body_is_a_conflict(self):
+        async with Bed() as bed:
+            await bed.submit(body={"a": 1, "b": 2})
+            status, result = await bed.submit(body={"b": 2, "a": 1})
+            self.assertEqual(status, 200)
+            status, result = await bed.submit(body={"a": 2})
+            self.assertEqual((status, result["code"]), (422, "key_conflict"))
+
+    async def test_unknown_send_is_not_sent_again(self):
+        async with Bed() as bed:
+            bed.behave(lambda item: (0, refuse(item, pb.SUB_STATUS_FAILED)))
+            for _ in range(2):
+                status, result = await bed.submit()
+                self.assertEqual((status, result["code"]), (409, "outcome_unknown"))
+                self.assertEqual(result["ran"], "unknown")
+            self.assertEqual(len(bed.requests), 1)
+
+    async def test_not_run_is_tried_at_another_replica(self):
+        async with Bed() as bed:
+            refused: list[str] = []
+
+            def behave(item):
+                if len(refused) < 2:
+                    refused.append(item.target)
+                    return 0, refuse(item, pb.SUB_STATUS_NOT_RUN, "not_owner")
+                return 0, answer(item)
+
+            bed.behave(behave)
+            status, _ = await bed.submit()
+            self.assertEqual(status, 200)
+            self.assertEqual(len({item.target for item in bed.requests}), 3)
+
+    async def test_shed_is_not_run_and_leaves_no_record(self):
+        async with Bed() as bed:
+            bed.behave(lambda item: (0, refuse(item, pb.SUB_STATUS_TARGET_SHED, "shed")))
+            status, result = await bed.submit()
+            self.assertEqual((status, result["code"]), (503, "overloaded"))
+            self.assertEqual((len(bed.requests), bed.store.objects), (1, {}))
+
+    async def test_not_run_is_unknown_while_the_record_cannot_be_deleted(self):
+        async with Bed() as bed:
+            bed.behave(lambda item: (0, refuse(item, pb.SUB_STATUS_TARGET_SHED, "shed")))
+            bed.store.faults = ["", "lost_before", "down", "down"]
+            _, result = await bed.submit()
+            self.assertEqual(result["code"], "outcome_unknown")
+            await bed.server.once.settle()
+            self.assertEqual(bed.store.objects, {})
+
+    async def test_store_down_refuses_without_sending(self):
+        async with Bed() as bed:
+            bed.store.is_down = True
+            status, result = await bed.submit()
+            self.assertEqual((status, result["code"]), (503, "store_unavailable"))
+            self.assertEqual((result["ran"], bed.requests), ("not_run", []))
+
+    async def test_lost_create_is_resolved_by_reading_back(self):
+        for fault in ("lost_before", "lost_after"):
+            async with Bed() as bed:
+                bed.store.faults = [fault]
+                status, _ = await bed.submit()
+                self.assertEqual((status, len(bed.requests)), (200, 1))
+
+    async def test_outcome_is_recorded_before_the_process_ends(self):
+        async with Bed() as bed:
+            bed.store.faults = ["", "down", "lost_before", "down", "down"]
+            status, first = await bed.submit()
+            self.assertEqual(status, 200)
+            self.assertEqual(await bed.server.once.settle(), 0)
+            _, second = await bed.submit()
+            self.assertEqual(second["outcome"], first["outcome"])
+            self.assertEqual(len(bed.requests), 1)
+
+    async def test_late_outcome_is_recorded_for_the_next_attempt(self):
+        async with Bed() as bed:
+            bed.behave(lambda item: (0.15, answer(item)))
+            status, result = await bed.submit(deadline_ms=60)
+            self.assertEqual((status, result["code"]), (409, "outcome_unknown"))
+            await asyncio.sleep(0.15)
+            status, _ = await bed.submit(deadline_ms=60)
+            self.assertEqual((status, len(bed.requests)), (200, 1))
+
+    async def test_rate_of_writes_is_bounded(self):
+        async with Bed() as bed:
+            bed.server.once.rate.take(bed.server.once.rate.per_second - 2)
+            self.assertEqual((await bed.submit("a"))[0], 200)
+            status, result = await bed.submit("b")
+            self.assertEqual((status, result["code"]), (503, "overloaded"))
+
+    def test_body_hash_depends_on_position_and_value(self):
+        hashes = [make_body_hash(1, b'{"a": 1}'), make_body_hash(1, b'{ "a":1}')]
+        self.assertEqual(hashes[0], hashes[1])
+        self.assertNotEqual(hashes[0], make_body_hash(2, b'{"a": 1}'))
