Add the operators' command line

Cause: operators have no way to switch presets, to mark failure domains and targets, or to see the state of the fleet.

Ruled out: a change sent without an expected version. Two operators who start at the same moment would then both succeed and neither would know of the other, so `use` and `mark` send the version that a status call showed.

Change: flamingostack/core.py and flamingostack/cli/ on cyclopts, grpclib and aiohttp. One change id is made for each command and reused at every control address, so that a lost answer never makes a change twice.

--- /dev/null
+++ b/flamingostack/cli/addresses.py
@@ -0,0 +1,25 @@
+"""Addresses given on the command line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+
+
+def find_bad_address(addresses: Iterable[str]) -> str:
+    """Return the first address that is not host:port, or an empty string."""
+    return next((address for address in addresses if not is_host_and_port(address)), "")
+
+
+def is_host_and_port(address: str) -> bool:
+    """Tell whether an address is host:port; unlike in the settings, host names are allowed."""
+    host, _, port = address.rpartition(":")
+    if not host or any(character in host for character in " /@?#\\"):
+        return False
+    if ":" in host and not (host.startswith("[") and host.endswith("]")):
+        return False
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        return False
+    return 0 < int(port) <= MAX_PORT
--- /dev/null
+++ b/flamingostack/cli/definition.py
@@ -0,0 +1,361 @@
+"""Definition of the command line: each command becomes a data class that `core` runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+from cyclopts import App, Parameter, validators
+
+DEFAULT_TIMEOUT_S = 10.0
+MAX_ID_CHARACTERS = 128
+
+MarkStateName = Literal["leaving", "returning", "clear"]
+SubjectKind = Literal["failure-domain", "target"]
+
+FileArgument = Annotated[str, Parameter(help="TOML file; - reads standard input.")]
+
+
+def require_id(_type: type, value: str) -> None:
+    """Refuse a change id that is empty or too long to be stored with each change."""
+    if value is not None and not 0 < len(value) <= MAX_ID_CHARACTERS:
+        raise ValueError(f"must have 1 to {MAX_ID_CHARACTERS} characters")
+
+
+def require_name(_type: type, value: str) -> None:
+    """Refuse an empty name."""
+    if not value.strip():
+        raise ValueError("must not be empty")
+
+
+NameArgument = Annotated[str, Parameter(validator=require_name)]
+
+
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Options of every command."""
+
+    control: Annotated[
+        tuple[str, ...],
+        Parameter(
+            help="Control process as HOST:PORT; repeat it to have others tried when one does not"
+            " answer. Default: FLAMINGOSTACK_CONTROL, separated by commas or spaces.",
+            negative="",
+        ),
+    ] = ()
+    json: Annotated[bool, Parameter(help="Print one JSON object.", negative="")] = False
+    timeout: Annotated[
+        float,
+        Parameter(
+            help="Seconds that the whole command may take.",
+            validator=validators.Number(gt=0, lte=3600),
+        ),
+    ] = DEFAULT_TIMEOUT_S
+
+
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True)
+class ChangeOptions:
+    """Options of the commands that change the fleet."""
+
+    change_id: Annotated[
+        str | None,
+        Parameter(
+            help="Id of the change. Repeat a command with the id it printed to learn its outcome:"
+            " a change is never applied twice. Default: a new id.",
+            validator=require_id,
+        ),
+    ] = None
+    expect_version: Annotated[
+        int | None,
+        Parameter(
+            help="Make the change only if this is still the newest configuration version; 0: any."
+            " Default: the version in force when the command starts.",
+            validator=validators.Number(gte=0, lt=2**64),
+        ),
+    ] = None
+    operator: Annotated[
+        str | None,
+        Parameter(help="Name recorded with the change. Default: FLAMINGOSTACK_OPERATOR or USER."),
+    ] = None
+
+
+DEFAULT_OPTIONS = Options()
+DEFAULT_CHANGE_OPTIONS = ChangeOptions()
+
+
+@dataclass(frozen=True, slots=True)
+class ListPresets:
+    """`preset list`."""
+
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class ShowPreset:
+    """`preset show`."""
+
+    name: str
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class CheckPreset:
+    """`preset check`."""
+
+    file: str
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class PutPreset:
+    """`preset put`."""
+
+    file: str
+    change: ChangeOptions
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class UsePreset:
+    """`preset use`."""
+
+    name: str
+    change: ChangeOptions
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class SetMark:
+    """`mark failure-domain` and `mark target`."""
+
+    kind: SubjectKind
+    name: str
+    state: MarkStateName
+    change: ChangeOptions
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class ShowStatus:
+    """`status`."""
+
+    list_targets: bool
+    list_partitions: bool
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class SendQuery:
+    """`query`: `given` holds the body's keys that were given as options."""
+
+    body: str | None
+    given: dict[str, object] = field(hash=False)
+    entry: str | None
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainRequest:
+    """`explain`."""
+
+    request_id: str
+    entries: tuple[str, ...]
+    dispatch_status: tuple[str, ...]
+    options: Options
+
+
+@dataclass(frozen=True, slots=True)
+class CheckSettings:
+    """`settings check`."""
+
+    file: str
+    options: Options
+
+
+Change = PutPreset | UsePreset | SetMark
+Command = (
+    ListPresets
+    | ShowPreset
+    | CheckPreset
+    | Change
+    | ShowStatus
+    | SendQuery
+    | ExplainRequest
+    | CheckSettings
+)
+
+
+def make_app() -> App:
+    """Return the command line; its functions return the data class of the command."""
+    app = App(
+        name="flamingostack",
+        help="Operate a fleet of flamingostack instances.",
+        help_format="plaintext",
+    )
+    app.command(make_preset_app())
+    app.command(make_mark_app())
+    app.command(make_settings_app())
+    app.command(show_status, name="status")
+    app.command(send_query, name="query")
+    app.command(explain_request, name="explain")
+    return app
+
+
+def make_preset_app() -> App:
+    """Return the `preset` commands."""
+    app = App(name="preset", help="Write and switch presets.")
+    app.command(list_presets, name="list")
+    app.command(show_preset, name="show")
+    app.command(check_preset, name="check")
+    app.command(put_preset, name="put")
+    app.command(use_preset, name="use")
+    return app
+
+
+def make_mark_app() -> App:
+    """Return the `mark` commands."""
+    app = App(name="mark", help="Mark failure domains and targets as leaving or returning.")
+    app.command(mark_failure_domain, name="failure-domain")
+    app.command(mark_target, name="target")
+    return app
+
+
+def make_settings_app() -> App:
+    """Return the `settings` commands."""
+    app = App(name="settings", help="Check the settings of an instance.")
+    app.command(check_settings, name="check")
+    return app
+
+
+def list_presets(*, options: Options = DEFAULT_OPTIONS) -> Command:
+    """List the stored presets and the one in force."""
+    return ListPresets(options)
+
+
+def show_preset(name: NameArgument, /, *, options: Options = DEFAULT_OPTIONS) -> Command:
+    """Print the text of a stored preset."""
+    return ShowPreset(name, options)
+
+
+def check_preset(file: FileArgument, /, *, options: Options = DEFAULT_OPTIONS) -> Command:
+    """Check a preset without sending it."""
+    return CheckPreset(file, options)
+
+
+def put_preset(
+    file: FileArgument,
+    /,
+    *,
+    change: ChangeOptions = DEFAULT_CHANGE_OPTIONS,
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Check a preset and store it under the name it holds; this does not put it in force."""
+    return PutPreset(file, change, options)
+
+
+def use_preset(
+    name: NameArgument,
+    /,
+    *,
+    change: ChangeOptions = DEFAULT_CHANGE_OPTIONS,
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Put a stored preset in force everywhere."""
+    return UsePreset(name, change, options)
+
+
+def mark_failure_domain(
+    name: NameArgument,
+    state: MarkStateName,
+    /,
+    *,
+    change: ChangeOptions = DEFAULT_CHANGE_OPTIONS,
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Mark a failure domain as leaving or returning, or clear its mark."""
+    return SetMark("failure-domain", name, state, change, options)
+
+
+def mark_target(
+    name: NameArgument,
+    state: MarkStateName,
+    /,
+    *,
+    change: ChangeOptions = DEFAULT_CHANGE_OPTIONS,
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Mark a target as leaving or returning, or clear its mark."""
+    return SetMark("target", name, state, change, options)
+
+
+def show_status(
+    *,
+    targets: Annotated[bool, Parameter(help="List each target.", negative="")] = False,
+    partitions: Annotated[bool, Parameter(help="List each partition.", negative="")] = False,
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Show instances, targets, ownership and configuration versions."""
+    return ShowStatus(targets, partitions, options)
+
+
+def send_query(
+    body: Annotated[
+        str | None,
+        Parameter(help="Body as JSON; - reads standard input. Options replace its keys."),
+    ] = None,
+    /,
+    *,
+    request_class: Annotated[str | None, Parameter(name="--class")] = None,
+    tenant: str | None = None,
+    query: Annotated[str | None, Parameter(help="Text handed to the targets.")] = None,
+    low: Annotated[int | None, Parameter(help="First key.")] = None,
+    high: Annotated[int | None, Parameter(help="Key after the last one.")] = None,
+    deadline_ms: int | None = None,
+    min_coverage: float | None = None,
+    entry: Annotated[
+        str | None,
+        Parameter(help="Entry process as HOST:PORT. Default: the one of the control's instance."),
+    ] = None,
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Send one query to an entry process and print its answer."""
+    given = {
+        "class": request_class,
+        "tenant": tenant,
+        "query": query,
+        "low": low,
+        "high": high,
+        "deadline_ms": deadline_ms,
+        "min_coverage": min_coverage,
+    }
+    return SendQuery(
+        body=body,
+        given={key: value for key, value in given.items() if value is not None},
+        entry=entry,
+        options=options,
+    )
+
+
+def explain_request(
+    request_id: NameArgument,
+    /,
+    *,
+    entry: Annotated[
+        tuple[str, ...],
+        Parameter(help="Entry process to ask beside those of the fleet.", negative=""),
+    ] = (),
+    dispatch_status: Annotated[
+        tuple[str, ...],
+        Parameter(help="Status address of a dispatch process to ask as well.", negative=""),
+    ] = (),
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Show where a request went, why, and what was retried, hedged or refused."""
+    return ExplainRequest(request_id, entry, dispatch_status, options)
+
+
+def check_settings(file: FileArgument, /, *, options: Options = DEFAULT_OPTIONS) -> Command:
+    """Check the settings file of an instance."""
+    return CheckSettings(file, options)
--- /dev/null
+++ b/flamingostack/cli/requests.py
@@ -0,0 +1,225 @@
+"""Commands about callers' requests: `query` and `explain`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Sequence
+from urllib.parse import quote
+
+from ..errors import Failure
+from ..status import ExitStatus
+from .addresses import find_bad_address
+from .client import ClientReason, ControlClient
+from .definition import ExplainRequest, SendQuery
+from .environment import CommandEnvironment
+from .files import STANDARD_INPUT, read_file
+from .fleet import describe_unreachable
+from .http import HttpAnswer, HttpReason, get_json, post_json
+from .output import Outcome, make_error
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+STATUSES_BY_CODE = {
+    "malformed": ExitStatus.INVALID_INPUT,
+    "too_large": ExitStatus.INVALID_INPUT,
+    "unknown_class": ExitStatus.NOT_FOUND,
+    "unknown_range": ExitStatus.NOT_FOUND,
+    "not_current": ExitStatus.UNAVAILABLE,
+    "shutting_down": ExitStatus.UNAVAILABLE,
+    "overloaded": ExitStatus.UNAVAILABLE,
+    "store_unavailable": ExitStatus.UNAVAILABLE,
+    "outcome_unknown": ExitStatus.OUTCOME_UNKNOWN,
+}
+
+
+async def send_query(
+    command: SendQuery,
+    client: ControlClient,
+    environment: CommandEnvironment,
+) -> Outcome:
+    """Send one query and return its answer."""
+    body = make_body(command, environment)
+    if isinstance(body, Outcome):
+        return body
+    entry = command.entry or await find_entry(client)
+    if isinstance(entry, Outcome):
+        return entry
+    answer = await post_json(entry, "/v1/query", body, client.remaining_s())
+    if isinstance(answer, Failure):
+        return describe_http_failure(answer, entry)
+    return describe_answer(answer, entry)
+
+
+def make_body(command: SendQuery, environment: CommandEnvironment) -> dict | Outcome:
+    """Return the body from JSON and options; options replace keys."""
+    text: str | bytes | Failure = command.body or "{}"
+    source = "query"
+    if command.body == STANDARD_INPUT:
+        source = "standard input"
+        text = read_file(STANDARD_INPUT, environment)
+        if isinstance(text, Failure):
+            return make_error(ExitStatus.INVALID_INPUT, text.reason.code, text.message)
+    try:
+        body = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        return make_error(ExitStatus.INVALID_INPUT, "malformed", f"{source}: not JSON: {error}")
+    if not isinstance(body, dict):
+        return make_error(ExitStatus.INVALID_INPUT, "malformed", f"{source}: not a JSON object")
+    body |= command.given
+    for key in ("class", "tenant", "query"):
+        if key not in body:
+            return make_error(
+                ExitStatus.INVALID_INPUT,
+                "malformed",
+                f"{source}: `{key}` is missing; give it in the JSON or as --{key}",
+            )
+    return body
+
+
+async def find_entry(client: ControlClient) -> str | Outcome:
+    """Return the entry address of the instance whose control process answers."""
+    status = await client.status()
+    if isinstance(status, Failure):
+        return describe_unreachable(status)
+    if not status.own_member.entry_address:
+        return make_error(
+            ExitStatus.NOT_FOUND,
+            "unknown",
+            f"instance {status.own_member.instance!r} has no entry process; give --entry",
+        )
+    return status.own_member.entry_address
+
+
+def describe_http_failure(failure: Failure[HttpReason], entry: str) -> Outcome:
+    """Return the outcome of a query without a usable answer."""
+    ran = "not_run" if failure.reason is HttpReason.UNREACHABLE else "unknown"
+    status = ExitStatus.UNAVAILABLE
+    if failure.reason is HttpReason.BAD_ANSWER:
+        status = ExitStatus.ERROR
+    return make_error(status, failure.reason.code, failure.message, ran=ran, entry=entry)
+
+
+def describe_answer(answer: HttpAnswer, entry: str) -> Outcome:
+    """Return the outcome of a query that was answered or refused."""
+    body = answer.body
+    data = {**body, "entry": entry}
+    if answer.status != HTTP_OK:
+        code = str(body.get("code", f"http_{answer.status}"))
+        text = (
+            f"{code}: {body.get('message', '')} (ran: {body.get('ran', 'unknown')},"
+            f" request {body.get('request_id', 'unknown')})"
+        )
+        return Outcome(STATUSES_BY_CODE.get(code, ExitStatus.ERROR), text, data)
+    lines = [
+        f"request: {body.get('request_id')}",
+        f"snapshot: {body.get('snapshot')}",
+        f"coverage: {body.get('coverage')}",
+        f"missing: {body.get('missing') or 'none'}",
+        f"preset: {body.get('preset')}",
+        f"elapsed: {body.get('elapsed_ms')} ms",
+        "parts:",
+        *(f"  {json.dumps(part)}" for part in body.get("parts") or ()),
+    ]
+    return Outcome(ExitStatus.SUCCESS, "\n".join(lines), data)
+
+
+async def explain_request(command: ExplainRequest, client: ControlClient) -> Outcome:
+    """Ask all known entry processes for a request, and the given dispatch processes."""
+    entries = list(command.entries)
+    silent: list[str] = []
+    if client.addresses:
+        status = await client.status()
+        if not isinstance(status, Failure):
+            entries += [
+                member.member.entry_address
+                for member in status.members
+                if member.member.entry_address
+            ]
+        elif entries and status.reason is not ClientReason.REFUSED:
+            silent.append(status.message)
+        else:
+            return describe_unreachable(status)
+    entries = [entry for entry in dict.fromkeys(entries) if not find_bad_address([entry])]
+    path = quote(command.request_id, safe="")
+    asked = [(entry, f"/v1/explain/{path}") for entry in entries]
+    asked += [(address, f"/explain/{path}") for address in command.dispatch_status]
+    return await _ask_all(command.request_id, asked, silent, client.remaining_s())
+
+
+async def _ask_all(
+    request_id: str,
+    asked: Sequence[tuple[str, str]],
+    silent: list[str],
+    timeout_s: float,
+) -> Outcome:
+    answers = await asyncio.gather(*(get_json(address, path, timeout_s) for address, path in asked))
+    traces: list[dict] = []
+    for (address, _), answer in zip(asked, answers, strict=True):
+        match answer:
+            case Failure():
+                silent.append(answer.message)
+            case HttpAnswer(status=200):
+                traces.append({"address": address, "trace": answer.body})
+            case HttpAnswer(status=404):
+                pass
+            case HttpAnswer(status=status):
+                silent.append(f"{address}: HTTP status {status}")
+    data = {"request_id": request_id, "traces": traces, "not_answered": silent}
+    if traces:
+        return Outcome(ExitStatus.SUCCESS, format_traces(request_id, traces, silent), data)
+    return describe_missing(request_id, len(asked), silent, data)
+
+
+def describe_missing(request_id: str, asked: int, silent: Sequence[str], data: dict) -> Outcome:
+    """Return the outcome when no process knows the request."""
+    if silent:
+        message = f"request {request_id!r} was not found, but not all answered: {'; '.join(silent)}"
+        return make_error(ExitStatus.UNAVAILABLE, "entry_no_answer", message, **data)
+    message = (
+        f"request {request_id!r} is known to none of the {asked} processes asked; each keeps only"
+        " its latest requests (`entry.explain_entries`) and loses them at a restart"
+    )
+    return make_error(ExitStatus.NOT_FOUND, "unknown", message, **data)
+
+
+def format_traces(request_id: str, traces: Sequence[dict], silent: Sequence[str]) -> str:
+    """Return the human form of all traces."""
+    lines = [f"request {request_id}"]
+    for item in traces:
+        lines += [f"at {item['address']}:", *format_value(item["trace"], 1)]
+    lines += [f"not answered: {message}" for message in silent]
+    return "\n".join(lines)
+
+
+def format_value(value: object, depth: int) -> list[str]:
+    """Format nested JSON as indented lines; a list of flat objects takes one line for each."""
+    indent = "  " * depth
+    match value:
+        case dict():
+            lines: list[str] = []
+            for key, item in value.items():
+                if isinstance(item, dict | list) and item:
+                    lines += [f"{indent}{key}:", *format_value(item, depth + 1)]
+                else:
+                    lines.append(f"{indent}{key}: {format_flat(item)}")
+            return lines
+        case list():
+            return [line for item in value for line in format_item(item, depth)]
+        case _:
+            return [f"{indent}{format_flat(value)}"]
+
+
+def format_item(item: object, depth: int) -> list[str]:
+    """Format one item of a list."""
+    indent = "  " * depth
+    if not isinstance(item, dict):
+        return [f"{indent}{format_flat(item)}"]
+    if any(isinstance(value, dict | list) and value for value in item.values()):
+        return [f"{indent}-", *format_value(item, depth + 1)]
+    return [indent + "  ".join(f"{key}={format_flat(value)}" for key, value in item.items())]
+
+
+def format_flat(value: object) -> str:
+    """Format a value on one line."""
+    return value if isinstance(value, str) else json.dumps(value)
--- /dev/null
+++ b/flamingostack/core.py
@@ -0,0 +1,156 @@
+"""The operators' command line, from arguments to the exit status."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import sys
+from collections.abc import Sequence
+
+from cyclopts import CycloptsError
+
+from .cli.addresses import find_bad_address
+from .cli.changes import make_change
+from .cli.client import ControlClient
+from .cli.definition import (
+    CheckPreset,
+    CheckSettings,
+    Command,
+    ExplainRequest,
+    ListPresets,
+    PutPreset,
+    SendQuery,
+    SetMark,
+    ShowPreset,
+    ShowStatus,
+    UsePreset,
+    make_app,
+)
+from .cli.environment import CommandEnvironment, make_command_environment
+from .cli.fleet import show_status
+from .cli.output import Outcome, make_error, write_outcome
+from .cli.presets import check_preset, check_settings, list_presets, show_preset
+from .cli.requests import explain_request, send_query
+from .status import ExitStatus
+
+CONTROL_VARIABLE = "FLAMINGOSTACK_CONTROL"
+
+
+def main(args: Sequence[str], environment: CommandEnvironment) -> ExitStatus:
+    """Run one command and return its exit status."""
+    command = parse(args, environment)
+    if isinstance(command, ExitStatus):
+        return command
+    command = fill_in(command, environment)
+    try:
+        outcome = check_addresses(command) or asyncio.run(execute(command, environment))
+    except KeyboardInterrupt:
+        outcome = describe_interrupt(command)
+    write_outcome(outcome, command.options.json, environment)
+    return outcome.status
+
+
+def parse(args: Sequence[str], environment: CommandEnvironment) -> Command | ExitStatus:
+    """Return the command, or an exit status if help was printed or the arguments are wrong."""
+    try:
+        # Help is printed by the library, which writes to the standard output of the process.
+        with contextlib.redirect_stdout(environment.stdout):
+            command = make_app()(
+                list(args),
+                exit_on_error=False,
+                print_error=False,
+                result_action="return_value",
+            )
+    except CycloptsError as error:
+        print(f"usage: {error}", file=environment.stderr)
+        print("see `flamingostack --help`", file=environment.stderr)
+        return ExitStatus.USAGE
+    return ExitStatus.SUCCESS if command is None else command
+
+
+def fill_in(command: Command, environment: CommandEnvironment) -> Command:
+    """Add the control addresses from the environment and the change id, once for the command."""
+    if not command.options.control:
+        variable = environment.variables.get(CONTROL_VARIABLE, "")
+        control = tuple(variable.replace(",", " ").split())
+        options = dataclasses.replace(command.options, control=control)
+        command = dataclasses.replace(command, options=options)
+    if isinstance(command, PutPreset | UsePreset | SetMark) and command.change.change_id is None:
+        change = dataclasses.replace(command.change, change_id=environment.make_id())
+        command = dataclasses.replace(command, change=change)
+    return command
+
+
+def check_addresses(command: Command) -> Outcome | None:
+    """Return an error if an address is missing or wrong."""
+    addresses = list(command.options.control)
+    needs_control = True
+    match command:
+        case CheckPreset() | CheckSettings():
+            return None
+        case SendQuery(entry=entry) if entry is not None:
+            addresses.append(entry)
+            needs_control = False
+        case ExplainRequest(entries=entries, dispatch_status=dispatch_status):
+            addresses += [*entries, *dispatch_status]
+            needs_control = not entries
+    bad = find_bad_address(addresses)
+    if bad:
+        return make_error(ExitStatus.USAGE, "usage", f"{bad!r} is not HOST:PORT")
+    if needs_control and not command.options.control:
+        message = f"no control address: give --control HOST:PORT or set {CONTROL_VARIABLE}"
+        return make_error(ExitStatus.USAGE, "usage", message)
+    return None
+
+
+async def execute(command: Command, environment: CommandEnvironment) -> Outcome:
+    """Run a command that is complete and has usable addresses."""
+    client = ControlClient(
+        addresses=dict.fromkeys(command.options.control),
+        now_s=environment.now_s,
+        timeout_s=command.options.timeout,
+    )
+    match command:
+        case ListPresets():
+            return await list_presets(client)
+        case ShowPreset():
+            return await show_preset(command, client)
+        case CheckPreset():
+            return check_preset(command, environment)
+        case CheckSettings():
+            return check_settings(command, environment)
+        case PutPreset() | UsePreset() | SetMark():
+            return await make_change(command, client, environment)
+        case ShowStatus():
+            return await show_status(command, client)
+        case SendQuery():
+            return await send_query(command, client, environment)
+        case ExplainRequest():
+            return await explain_request(command, client)
+
+
+def describe_interrupt(command: Command) -> Outcome:
+    """Return the outcome of a command that was interrupted, with the change id if it has one."""
+    message = "the command was stopped before it ended"
+    match command:
+        case PutPreset(change=change) | UsePreset(change=change) | SetMark(change=change):
+            message += (
+                "; the change may have been made. To learn the outcome, run the same command with"
+                f" --change-id {change.change_id}"
+            )
+    return make_error(ExitStatus.INTERRUPTED, "interrupted", message)
+
+
+def run() -> int:
+    """Run the console script."""
+    try:
+        status = main(sys.argv[1:], make_command_environment())
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of the output has gone. Standard output is redirected so that the
+        # interpreter's own flush at exit does not fail as well.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitStatus.ERROR
+    return status
