Refuse TOML that made the decoders raise, and name the class at fault

Cause: fuzzing found inputs on which parse_preset and parse_settings raised: an integer of over 4,300 digits (ValueError), deep nesting (RecursionError), and a port written in digits of another script (ValueError in is_address). An infinite foreign_domain_penalty_ms was accepted. Messages about a class said $.classes[...], not which class.

Ruled out: a check of the text before decoding. It would repeat the grammar.

Change: both parsers translate all errors of the decoder; ports are ASCII digits; the penalty must be finite; the class is found by converting each one.

--- a/flamingostack/cli/addresses.py
+++ b/flamingostack/cli/addresses.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Iterable
 
-MAX_PORT = 65535
-MAX_PORT_DIGITS = 5
+from ..settings import MAX_PORT, MAX_PORT_DIGITS
 
 
 def find_bad_address(addresses: Iterable[str]) -> str:
--- a/flamingostack/presets.py
+++ b/flamingostack/presets.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from .errors import Failure, Reason, make_failure
-from .generated.preset import Preset
+from .generated.preset import ClassPolicy, Preset
+from .settings import DECODE_ERRORS
+
+ANY_CLASS_PATH = "$.classes[...]"
 
 
 class PresetReason(Reason):
@@ -18,14 +23,26 @@
     """Decode a preset; messages name the source and the key's path."""
     try:
         preset = msgspec.toml.decode(text, type=Preset)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return make_failure(PresetReason.INVALID, f"{source}: {error}")
+    except DECODE_ERRORS as error:
+        return make_failure(PresetReason.INVALID, f"{source}: {name_class(str(error), text)}")
     problem = find_conflict(preset)
     if problem:
         return make_failure(PresetReason.INVALID, f"{source}: {problem}")
     return preset
 
 
+def name_class(message: str, text: bytes) -> str:
+    """Put the name of the class into a message of msgspec, whose paths do not hold keys."""
+    if ANY_CLASS_PATH not in message:
+        return message
+    for name, policy in msgspec.toml.decode(text)["classes"].items():
+        try:
+            msgspec.convert(policy, ClassPolicy)
+        except msgspec.ValidationError:
+            return message.replace(ANY_CLASS_PATH, f"$.classes.{name}")
+    return message
+
+
 def find_conflict(preset: Preset) -> str:
     """Return what is wrong across keys, with the key's path, or an empty string."""
     for name, policy in preset.classes.items():
@@ -36,4 +53,6 @@
                 "a class that is not repeatable takes no hedges or retries: set it to 0"
                 f" - at `$.classes.{name}.extra_load_percent`"
             )
+    if not math.isfinite(preset.limits.foreign_domain_penalty_ms):
+        return "must be a finite number - at `$.limits.foreign_domain_penalty_ms`"
     return ""
--- a/flamingostack/settings.py
+++ b/flamingostack/settings.py
@@ -10,6 +10,12 @@
 from .errors import Failure, Reason, make_failure
 from .generated.settings import Settings
 
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+# Beside msgspec's own error, the TOML decoder raises ValueError for bad UTF-8 and for integers of
+# more than 4,300 digits, and RecursionError for deep nesting.
+DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
+
 
 class SettingsReason(Reason):
     """Why settings were refused."""
@@ -31,7 +37,7 @@
     """Decode TOML and check it against the schema and across keys."""
     try:
         settings = msgspec.toml.decode(text, type=Settings)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return make_failure(SettingsReason.INVALID, f"{source}: {error}")
     problem = find_conflict(settings)
     if problem:
@@ -68,7 +74,10 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isdigit() and 0 < int(port) < 65536
+    # isdigit alone also accepts digits of other scripts.
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        return False
+    return 0 < int(port) <= MAX_PORT
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,9 +2,14 @@
 
 import unittest
 
+from hypothesis import example, given, settings, strategies
+
 from flamingostack.errors import Failure
+from flamingostack.generated.settings import Settings
 from flamingostack.settings import parse_settings
 
+from .toml_mutations import mutated
+
 MINIMAL = b"""
 [instance]
 id = "a1"
@@ -47,3 +52,32 @@
 
     def test_invalid_toml_is_refused(self):
         self.assert_refused(b"[instance", "a.toml")
+
+    def test_port_of_other_digits_is_refused(self):
+        # str.isdigit accepts digits of other scripts; int() raises on some and accepts others.
+        for port in ("\u00b2", "\u0663\u0663", "9" * 5000):
+            text = MINIMAL.replace(b"7000", port.encode())
+            self.assert_refused(text, "$.control.listen")
+
+
+class FuzzSettingsTest(unittest.TestCase):
+    """Guards against input that raises, which would end a process without naming the file."""
+
+    def check(self, text: bytes):
+        result = parse_settings(text, source="a.toml")
+        if isinstance(result, Failure):
+            self.assertTrue(result.message.startswith("a.toml: "), result.message)
+        else:
+            self.assertIsInstance(result, Settings)
+
+    @settings(max_examples=300, deadline=None)
+    @given(strategies.binary(max_size=300))
+    def test_arbitrary_bytes(self, text):
+        self.check(text)
+
+    @settings(max_examples=600, deadline=None)
+    @given(mutated(MINIMAL))
+    @example(b"a = " + b"[" * 100_000)
+    @example(MINIMAL + b"[fleet]\nlease_ms = " + b"9" * 5000)
+    def test_mutated_settings(self, text):
+        self.check(text)
