--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -13,7 +13,10 @@
 MarkStateName = Literal["leaving", "returning", "clear"]
 SubjectKind = Literal["failure-domain", "target"]
 
-FileArgument = Annotated[str, Parameter(help="TOML file; - reads standard input.")]
+FileArgument = Annotated[
+    str,
+    Parameter(help="TOML file; - reads standard input.", allow_leading_hyphen=True),
+]
 
 
 def require_id(_type: type, value: str) -> None:
@@ -303,7 +306,10 @@
 def send_query(
     body: Annotated[
         str | None,
-        Parameter(help="Body as JSON; - reads standard input. Options replace its keys."),
+        Parameter(
+            help="Body as JSON; - reads standard input. Options replace its keys.",
+            allow_leading_hyphen=True,
+        ),
     ] = None,
     /,
     *,
