--- a/flamingostack/cli/requests.py
+++ b/flamingostack/cli/requests.py
@@ -25,6 +25,8 @@
     "too_large": ExitStatus.INVALID_INPUT,
     "unknown_class": ExitStatus.NOT_FOUND,
     "unknown_range": ExitStatus.NOT_FOUND,
+    "key_conflict": ExitStatus.INVALID_INPUT,
+    "deadline_expired": ExitStatus.UNAVAILABLE,
     "not_current": ExitStatus.UNAVAILABLE,
     "shutting_down": ExitStatus.UNAVAILABLE,
     "overloaded": ExitStatus.UNAVAILABLE,
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,63 @@
+"""Tests of the pages: what they show has to work."""
+
+import io
+import re
+import shlex
+import time
+import unittest
+from pathlib import Path
+
+from flamingostack.cli.environment import CommandEnvironment
+from flamingostack.core import parse
+from flamingostack.errors import Failure
+from flamingostack.presets import parse_preset
+from flamingostack.status import ExitStatus
+
+ROOT = Path(__file__).resolve().parent.parent
+OPERATORS = (ROOT / "docs" / "operators.md").read_text()
+README = (ROOT / "README.md").read_text()
+
+
+def find_blocks(page: str, language: str) -> list[str]:
+    return re.findall(rf"```{language}\n(.*?)```", page, re.DOTALL)
+
+
+class PagesTest(unittest.TestCase):
+    """Guards against pages that show commands, presets or statuses that do not exist."""
+
+    def test_commands_on_the_pages_are_accepted(self):
+        lines = "\n".join(find_blocks(README + OPERATORS, "sh")).splitlines()
+        commands = [shlex.split(line)[1:] for line in lines if line.startswith("flamingostack ")]
+        commands += [
+            shlex.split(text)
+            for text in re.findall(r"`flamingostack ([a-z][^`]*)`", README + OPERATORS)
+        ]
+        self.assertGreater(len(commands), 15)
+        for args in commands:
+            errors = io.StringIO()
+            environment = CommandEnvironment(
+                stdin=io.BytesIO(),
+                stdout=io.StringIO(),
+                stderr=errors,
+                variables={},
+                now_s=time.monotonic,
+                make_id=str,
+            )
+            result = parse(args, environment)
+            self.assertNotIsInstance(result, ExitStatus, f"{args}: {errors.getvalue()}")
+
+    def test_presets_on_the_pages_are_valid(self):
+        presets = [parse_preset(text.encode(), "page") for text in find_blocks(OPERATORS, "toml")]
+        self.assertEqual([preset for preset in presets if isinstance(preset, Failure)], [])
+        names = [preset.name for preset in presets]
+        self.assertEqual(names, ["ordinary", "peak", "maintenance"])
+
+    def test_each_exit_status_is_documented(self):
+        rows = re.findall(r"^\| (\d+) \| ([A-Z_]+) \|", OPERATORS, re.MULTILINE)
+        documented = {(int(number), name) for number, name in rows}
+        self.assertEqual(documented, {(status.value, status.name) for status in ExitStatus})
+
+    def test_links_lead_to_files(self):
+        for page in [*ROOT.glob("*.md"), ROOT / "docs" / "operators.md", ROOT / "docs/glossary.md"]:
+            for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+                self.assertTrue((page.parent / link).exists(), f"{page.name}: {link}")
