Refuse names that cannot be stored, and report output that cannot be written

Cause: a name that is not text in the locale's encoding raised inside protobuf, and a full disk behind standard output ended with a traceback.

Ruled out: replacing the bad characters; the change would name another subject.

Change: names, change ids and operators have 1 to 128 printable characters; run() reports OSError. "Nothing was changed" now says "this command", since an earlier run with the same change id may have made the change.

--- a/flamingostack/cli/changes.py
+++ b/flamingostack/cli/changes.py
@@ -45,7 +45,7 @@
         return make_error(
             STATUSES_BY_REASON[version.reason],
             version.reason.code,
-            f"{version.message}; nothing was changed",
+            f"{version.message}; this command changed nothing",
             change_id=request.change_id,
         )
     request.expected_version = version
@@ -215,7 +215,7 @@
 
 def describe_failure(failure: Failure[ClientReason], change_id: str) -> Outcome:
     """Say what is known of a change that no control process answered."""
-    message = f"{failure.message}; nothing was changed"
+    message = f"{failure.message}; this command changed nothing"
     if failure.reason is ClientReason.OUTCOME_UNKNOWN:
         message = (
             f"{failure.message}\nThe change may have been made. To learn the outcome, run the same"
--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -8,7 +8,7 @@
 from cyclopts import App, Parameter, validators
 
 DEFAULT_TIMEOUT_S = 10.0
-MAX_ID_CHARACTERS = 128
+MAX_NAME_CHARACTERS = 128
 
 MarkStateName = Literal["leaving", "returning", "clear"]
 SubjectKind = Literal["failure-domain", "target"]
@@ -19,16 +19,14 @@
 ]
 
 
-def require_id(_type: type, value: str) -> None:
-    """Refuse a change id that is empty or too long to be stored with each change."""
-    if value is not None and not 0 < len(value) <= MAX_ID_CHARACTERS:
-        raise ValueError(f"must have 1 to {MAX_ID_CHARACTERS} characters")
-
-
-def require_name(_type: type, value: str) -> None:
-    """Refuse an empty name."""
-    if not value.strip():
-        raise ValueError("must not be empty")
+def require_name(_type: type, value: str | None) -> None:
+    """Refuse what cannot be stored with a change or be told apart when it is printed."""
+    if value is None:
+        return
+    if not value.strip() or not value.isprintable():
+        raise ValueError("must not be empty and must have only printable characters")
+    if len(value) > MAX_NAME_CHARACTERS:
+        raise ValueError(f"must have at most {MAX_NAME_CHARACTERS} characters")
 
 
 NameArgument = Annotated[str, Parameter(validator=require_name)]
@@ -67,7 +65,7 @@
         Parameter(
             help="Id of the change. Repeat a command with the id it printed to learn its outcome:"
             " a change is never applied twice. Default: a new id.",
-            validator=require_id,
+            validator=require_name,
         ),
     ] = None
     expect_version: Annotated[
@@ -80,7 +78,10 @@
     ] = None
     operator: Annotated[
         str | None,
-        Parameter(help="Name recorded with the change. Default: FLAMINGOSTACK_OPERATOR or USER."),
+        Parameter(
+            help="Name recorded with the change. Default: FLAMINGOSTACK_OPERATOR or USER.",
+            validator=require_name,
+        ),
     ] = None
 
 
--- a/flamingostack/cli/environment.py
+++ b/flamingostack/cli/environment.py
@@ -11,6 +11,7 @@
 
 OPERATOR_VARIABLES = ("FLAMINGOSTACK_OPERATOR", "USER", "LOGNAME")
 UNKNOWN_OPERATOR = "unknown"
+MAX_OPERATOR_CHARACTERS = 128
 
 
 class CommandEnvironment:
@@ -36,14 +37,16 @@
 
     def operator(self) -> str:
         """Return the name that is recorded with a change."""
-        for variable in OPERATOR_VARIABLES:
-            if self.variables.get(variable):
-                return self.variables[variable]
-        return UNKNOWN_OPERATOR
+        names = (self.variables.get(variable) for variable in OPERATOR_VARIABLES)
+        name = next(filter(None, names), UNKNOWN_OPERATOR)
+        printable = (character if character.isprintable() else "?" for character in name)
+        return "".join(printable)[:MAX_OPERATOR_CHARACTERS]
 
 
 def make_command_environment() -> CommandEnvironment:
     """Return the environment of the running process."""
+    # A file name need not be text in the locale's encoding.
+    sys.stdout.reconfigure(errors="backslashreplace")
     return CommandEnvironment(
         stdin=sys.stdin.buffer,
         stdout=sys.stdout,
--- a/flamingostack/core.py
+++ b/flamingostack/core.py
@@ -148,9 +148,10 @@
     try:
         status = main(sys.argv[1:], make_command_environment())
         sys.stdout.flush()
-    except BrokenPipeError:
-        # The reader of the output has gone. Standard output is redirected so that the
-        # interpreter's own flush at exit does not fail as well.
+    except OSError as error:
+        # The reader of the output has gone, or the disk is full. Standard output is redirected so
+        # that the interpreter's own flush at exit does not fail as well.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        print(f"cannot write the output: {error.strerror}", file=sys.stderr)
         return ExitStatus.ERROR
     return status
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -22,6 +22,9 @@
             ("status",): "FLAMINGOSTACK_CONTROL",
             ("status", "--control", "host"): "'host' is not HOST:PORT",
             ("preset", "use", "x", "--change-id", ""): "--change-id",
+            ("preset", "use", "x", "--operator", "a" * 129): "--operator",
+            # An argument that is not text in the locale's encoding, as Python passes it on.
+            ("preset", "use", "\udcff"): "NAME",
             ("preset", "use", "x", "--expect-version", "-1"): "--expect-version",
             ("explain", "r-1", "--entry", "x:99999"): "x:99999",
         }
