Bound the output of status and the connections of explain at two years' scale

Cause: with 2,600 instances status printed a line for each one, and explain would have opened 2,600 connections at once, over the usual limit of 1,024 open files, and waited for silent entry processes after the trace was found.

Ruled out: asking entry processes in a fixed order; the one that served the request is not known beforehand.

Change: status shows at most 40 instances, those that lag or leave first; explain uses one session with 100 connections and stops at the first trace.

--- a/flamingostack/cli/fleet.py
+++ b/flamingostack/cli/fleet.py
@@ -14,6 +14,8 @@
 from .output import Outcome, format_table, format_time, make_error
 
 RECENT_CHANGES_SHOWN = 5
+# Above this number the table shows the instances that need attention first.
+INSTANCES_SHOWN = 40
 NAMES_BY_STATE = {
     pb.MARK_STATE_LEAVING: "leaving",
     pb.MARK_STATE_RETURNING: "returning",
@@ -189,6 +191,18 @@
     return lines
 
 
+def choose_instances(instances: Sequence[dict]) -> list[dict]:
+    """Return the instances to show, those that lag or leave before all others."""
+    by_attention = sorted(
+        instances,
+        key=lambda item: (-item["versions_behind"], not item["leaving"], item["instance"]),
+    )
+    return sorted(
+        by_attention[:INSTANCES_SHOWN],
+        key=lambda item: (item["failure_domain"], item["instance"]),
+    )
+
+
 def format_instances(instances: Sequence[dict]) -> list[str]:
     """Return a table of instances and a line that names those that lag."""
     rows = [
@@ -203,7 +217,7 @@
             len(item["partitions"]),
             item["entry_address"],
         )
-        for item in sorted(instances, key=lambda item: (item["failure_domain"], item["instance"]))
+        for item in choose_instances(instances)
     ]
     header = (
         "INSTANCE",
@@ -216,9 +230,15 @@
         "PARTITIONS",
         "ENTRY",
     )
-    lagging = [item["instance"] for item in instances if item["versions_behind"]]
-    summary = f"lagging: {', '.join(sorted(lagging))}" if lagging else "lagging: none"
-    return [*format_table(header, rows), summary]
+    lines = format_table(header, rows)
+    hidden = len(instances) - len(rows)
+    if hidden:
+        lines.append(f"... and {hidden} more; --json lists all")
+    lagging = sorted(item["instance"] for item in instances if item["versions_behind"])
+    names = ", ".join(lagging[:INSTANCES_SHOWN]) or "none"
+    if len(lagging) > INSTANCES_SHOWN:
+        names += f" and {len(lagging) - INSTANCES_SHOWN} more"
+    return [*lines, f"lagging: {names}"]
 
 
 def format_services(targets: Sequence[dict]) -> list[str]:
--- a/flamingostack/cli/http.py
+++ b/flamingostack/cli/http.py
@@ -5,9 +5,13 @@
 import json
 
 import aiohttp
+from yarl import URL
 
 from ..errors import Failure, Reason, make_failure
 
+# At the scale of design section 1.5 a request id is looked up at 2,600 entry processes; the usual
+# limit of open files is 1,024.
+MAX_CONNECTIONS = 100
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -30,18 +34,33 @@
 
 
 async def post_json(
-    address: str, path: str, body: dict, timeout_s: float
+    address: str,
+    path: str,
+    body: dict,
+    timeout_s: float,
 ) -> HttpAnswer | Failure[HttpReason]:
     """Send one POST; it is never repeated."""
-    return await _request("POST", address, path, timeout_s, body)
+    async with open_session() as session:
+        return await _request(session, "POST", address, path, timeout_s, body)
 
 
-async def get_json(address: str, path: str, timeout_s: float) -> HttpAnswer | Failure[HttpReason]:
+async def get_json(
+    session: aiohttp.ClientSession,
+    address: str,
+    path: str,
+    timeout_s: float,
+) -> HttpAnswer | Failure[HttpReason]:
     """Send one GET."""
-    return await _request("GET", address, path, timeout_s, None)
+    return await _request(session, "GET", address, path, timeout_s, None)
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session that keeps a bounded number of connections open."""
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS))
 
 
 async def _request(
+    session: aiohttp.ClientSession,
     method: str,
     address: str,
     path: str,
@@ -50,10 +69,12 @@
 ) -> HttpAnswer | Failure[HttpReason]:
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     try:
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.request(method, f"http://{address}{path}", json=body) as response,
-        ):
+        async with session.request(
+            method,
+            URL(f"http://{address}{path}", encoded=True),
+            json=body,
+            timeout=timeout,
+        ) as response:
             content = await response.content.read(MAX_ANSWER_BYTES)
             while chunk := await response.content.read(MAX_ANSWER_BYTES - len(content)):
                 content += chunk
--- a/flamingostack/cli/requests.py
+++ b/flamingostack/cli/requests.py
@@ -7,6 +7,8 @@
 from collections.abc import Sequence
 from urllib.parse import quote
 
+from aiohttp import ClientSession
+
 from ..errors import Failure
 from ..status import ExitStatus
 from .addresses import find_bad_address
@@ -15,7 +17,7 @@
 from .environment import CommandEnvironment
 from .files import STANDARD_INPUT, read_file
 from .fleet import describe_unreachable
-from .http import HttpAnswer, HttpReason, get_json, post_json
+from .http import HttpAnswer, HttpReason, get_json, open_session, post_json
 from .output import Outcome, make_error
 
 HTTP_OK = 200
@@ -144,33 +146,59 @@
             return describe_unreachable(status)
     entries = [entry for entry in dict.fromkeys(entries) if not find_bad_address([entry])]
     path = quote(command.request_id, safe="")
-    asked = [(entry, f"/v1/explain/{path}") for entry in entries]
-    asked += [(address, f"/explain/{path}") for address in command.dispatch_status]
-    return await _ask_all(command.request_id, asked, silent, client.remaining_s())
-
-
-async def _ask_all(
-    request_id: str,
-    asked: Sequence[tuple[str, str]],
-    silent: list[str],
-    timeout_s: float,
-) -> Outcome:
-    answers = await asyncio.gather(*(get_json(address, path, timeout_s) for address, path in asked))
-    traces: list[dict] = []
-    for (address, _), answer in zip(asked, answers, strict=True):
-        match answer:
-            case Failure():
-                silent.append(answer.message)
-            case HttpAnswer(status=200):
-                traces.append({"address": address, "trace": answer.body})
-            case HttpAnswer(status=404):
-                pass
-            case HttpAnswer(status=status):
-                silent.append(f"{address}: HTTP status {status}")
-    data = {"request_id": request_id, "traces": traces, "not_answered": silent}
-    if traces:
-        return Outcome(ExitStatus.SUCCESS, format_traces(request_id, traces, silent), data)
-    return describe_missing(request_id, len(asked), silent, data)
+    lookup = Lookup(timeout_s=client.remaining_s(), silent=silent)
+    await lookup.ask([(entry, f"/v1/explain/{path}") for entry in entries], first_only=True)
+    asked_dispatch = [(address, f"/explain/{path}") for address in command.dispatch_status]
+    await lookup.ask(asked_dispatch, first_only=False)
+    return describe_lookup(command.request_id, lookup)
+
+
+class Lookup:
+    """The traces found so far, and who did not answer."""
+
+    __slots__ = ("timeout_s", "silent", "traces", "asked")
+
+    def __init__(self, timeout_s: float, silent: list[str]) -> None:
+        self.timeout_s = timeout_s
+        self.silent = silent
+        self.traces: list[dict] = []
+        self.asked = 0
+
+    async def ask(self, places: Sequence[tuple[str, str]], first_only: bool) -> None:
+        """Ask all (address, path) at once; `first_only` stops at the first trace."""
+        self.asked += len(places)
+        async with open_session() as session:
+            tasks = [asyncio.create_task(self._ask_one(session, *place)) for place in places]
+            for task in asyncio.as_completed(tasks):
+                if await task and first_only:
+                    break
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _ask_one(self, session: ClientSession, address: str, path: str) -> bool:
+        match await get_json(session, address, path, self.timeout_s):
+            case Failure(message=message):
+                self.silent.append(message)
+            case HttpAnswer(status=200, body=body):
+                self.traces.append({"address": address, "trace": body})
+                return True
+            case HttpAnswer(status=status) if status != HTTP_NOT_FOUND:
+                self.silent.append(f"{address}: HTTP status {status}")
+        return False
+
+
+def describe_lookup(request_id: str, lookup: Lookup) -> Outcome:
+    """Return the outcome of `explain`."""
+    data = {
+        "request_id": request_id,
+        "traces": lookup.traces,
+        "not_answered": lookup.silent,
+    }
+    if lookup.traces:
+        text = format_traces(request_id, lookup.traces, lookup.silent)
+        return Outcome(ExitStatus.SUCCESS, text, data)
+    return describe_missing(request_id, lookup.asked, lookup.silent, data)
 
 
 def describe_missing(request_id: str, asked: int, silent: Sequence[str], data: dict) -> Outcome:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,12 +1,13 @@
 """Tests of the commands that read: presets, settings, status, query and explain."""
 
+import time
 from unittest import mock
 
 from grpclib.const import Status
 
 from flamingostack.status import ExitStatus
 
-from .fakes import LOOPBACK, PRESET, CommandTest, free_port
+from .fakes import LOOPBACK, PRESET, CommandTest, free_port, make_member
 
 
 class UsageTest(CommandTest):
@@ -133,6 +134,15 @@
         self.assertEqual(data["newest_version"], 8)
         self.assertEqual(data["instances"][0]["versions_behind"], 3)
 
+    async def test_lagging_instance_is_shown_in_a_large_fleet(self):
+        control = await self.start_control()
+        control.members += [make_member(f"c{n:03}", "c", applied_version=5) for n in range(100)]
+        control.members[-1].applied_version = 3
+        result = await self.run_command("status", control=[control.address])
+        self.assertRegex(result.stdout, r"c099 +c +live +5 +3 +2 ")
+        self.assertIn("lagging: b1, c099", result.stdout)
+        self.assertIn("... and 62 more", result.stdout)
+
     async def test_errors_of_control(self):
         control = await self.start_control()
         cases = {
@@ -232,6 +242,17 @@
         self.assertIn("target=t-a", result.stdout)
         self.assertIn("sent: 1", result.stdout)
 
+    async def test_a_silent_entry_does_not_delay_a_trace_that_is_found(self):
+        control = await self.start_control()
+        entry = await self.start_entry()
+        entry.traces_by_path = {"/v1/explain/r-1": {"code": "ok"}}
+        control.members[0].member.entry_address = await self.start_raw(b"")
+        control.members[1].member.entry_address = entry.address
+        started = time.monotonic()
+        result = await self.run_command("explain", "r-1", control=[control.address])
+        self.assertEqual(result.status, ExitStatus.SUCCESS)
+        self.assertLess(time.monotonic() - started, 5)
+
     async def test_unknown_and_not_answered_differ(self):
         control = await self.start_control()
         entry = await self.start_entry()
