Treat control's code "unknown" as an unknown outcome; document codes, events, metrics

Cause: the branch control uses "unknown" for a change whose write got no answer from the store, and "invalid" for an unknown preset or subject. The command took "unknown" for a wrong name and reported status 7 (not found).

Ruled out: telling unknown names from other invalid input by control's text.

Change: "unknown" goes on to the next control address with the same change id and ends with status 8 if none knows better. The operators' guide lists the refusals, reasons, log events and metrics found on the branches control, dispatch and entry, and a test keeps that list complete.

--- a/flamingostack/cli/changes.py
+++ b/flamingostack/cli/changes.py
@@ -21,7 +21,6 @@
 STATUSES_BY_CODE = {
     STORE_UNAVAILABLE: ExitStatus.UNAVAILABLE,
     "invalid": ExitStatus.INVALID_INPUT,
-    "unknown": ExitStatus.NOT_FOUND,
 }
 STATUSES_BY_REASON = {
     ClientReason.UNREACHABLE: ExitStatus.UNAVAILABLE,
@@ -90,7 +89,8 @@
 ) -> int | Failure[ClientReason]:
     """Return the version that the change builds on.
 
-    The preset texts are not part of the versioned document, so `preset put` builds on any version.
+    For `preset put` it is the version of the preset's own object, which a control process may
+    know late; without the option, the text is replaced whatever its version.
     """
     if command.change.expect_version is not None:
         return command.change.expect_version
--- a/flamingostack/cli/client.py
+++ b/flamingostack/cli/client.py
@@ -18,6 +18,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 2.0
+# Control may need 2 s beyond the wait to find out about a write whose answer was lost.
+RESOLVE_TIMEOUT_S = 2.5
 # A change is waited for in slices, so that a control process that stops answering is noticed
 # before the command's time is used up.
 WAIT_SLICE_S = 2.0
@@ -30,6 +32,7 @@
 # With these codes the server has not acted; every other code leaves the outcome open.
 NOT_RUN_CODES = frozenset(
     {
+        Status.FAILED_PRECONDITION,
         Status.INVALID_ARGUMENT,
         Status.NOT_FOUND,
         Status.PERMISSION_DENIED,
@@ -88,7 +91,8 @@
         """Send a change and wait until it is accepted or the time is used up.
 
         The same change id goes to each address, so a change whose answer was lost is not made
-        twice. OUTCOME_UNKNOWN: some process may have made the change, and none could say so.
+        twice. OUTCOME_UNKNOWN: some process may have made the change, and none could say so;
+        control's code for that is "unknown".
         """
         written: pb.OperateReply | None = None
         refused: pb.OperateReply | None = None
@@ -96,6 +100,8 @@
         pending = list(self.addresses)
         while pending and self.remaining_s() > 0:
             reply = await self._operate(pending[0], request, len(pending))
+            if isinstance(reply, pb.OperateReply) and reply.code == "unknown":
+                reply = make_failure(ClientReason.NO_ANSWER, f"{pending[0]}: {reply.message}")
             match reply:
                 case Failure():
                     failures.append(reply)
@@ -127,7 +133,7 @@
         share_s = self.remaining_s() / addresses_left
         wait_s = min(WAIT_SLICE_S, max(0.0, share_s - WAIT_MARGIN_S))
         request.wait_ms = int(wait_s * MS_PER_S)
-        return await call_operate(address, request, min(share_s, wait_s + ANSWER_TIMEOUT_S))
+        return await call_operate(address, request, min(share_s, wait_s + RESOLVE_TIMEOUT_S))
 
     def _demote(self, address: str) -> None:
         self.addresses.remove(address)
--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -71,8 +71,9 @@
     expect_version: Annotated[
         int | None,
         Parameter(
-            help="Make the change only if this is still the newest configuration version; 0: any."
-            " Default: the version in force when the command starts.",
+            help="Make the change only if no other operator's change came after this configuration"
+            " version (for `preset put`: if this is the preset's store version); 0: any. Default:"
+            " the version known when the command starts; for `preset put` 0.",
             validator=validators.Number(gte=0, lt=2**64),
         ),
     ] = None
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,5 +1,6 @@
 """Tests of the pages: what they show has to work."""
 
+import ast
 import io
 import re
 import shlex
@@ -15,6 +16,10 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 OPERATORS = (ROOT / "docs" / "operators.md").read_text()
+RECORDING_METHODS = {
+    *("debug", "info", "warning", "error", "exception"),
+    *("count", "set_gauge", "record_us"),
+}
 README = (ROOT / "README.md").read_text()
 
 
@@ -22,6 +27,15 @@
     return re.findall(rf"```{language}\n(.*?)```", page, re.DOTALL)
 
 
+def find_names(call: ast.Call) -> set[str]:
+    """Return the event or metric names in a call of a logger or of `Metrics`."""
+    if call.func.attr not in RECORDING_METHODS or not call.args:
+        return set()
+    constants = (node for node in ast.walk(call.args[0]) if isinstance(node, ast.Constant))
+    names = {str(node.value) for node in constants}
+    return {name for name in names if re.fullmatch("[a-z]+(_[a-z]+)*", name)}
+
+
 class PagesTest(unittest.TestCase):
     """Guards against pages that show commands, presets or statuses that do not exist."""
 
@@ -57,6 +71,15 @@
         documented = {(int(number), name) for number, name in rows}
         self.assertEqual(documented, {(status.value, status.name) for status in ExitStatus})
 
+    def test_each_log_event_and_metric_is_documented(self):
+        names = set()
+        for path in (ROOT / "flamingostack").rglob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+                    names |= find_names(node)
+        self.assertIn("control_connection_lost", names)
+        self.assertEqual([name for name in sorted(names) if f"`{name}`" not in OPERATORS], [])
+
     def test_links_lead_to_files(self):
         for page in [*ROOT.glob("*.md"), ROOT / "docs" / "operators.md", ROOT / "docs/glossary.md"]:
             for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
