Show traces as tables; wait for a written change with all the time that is left

Ruled out: a fixed layout of entry's trace; its fields may grow.

Change: lists of flat objects are tables; once a change is written, the remaining time is no longer divided.

--- a/flamingostack/cli/client.py
+++ b/flamingostack/cli/client.py
@@ -99,7 +99,9 @@
         failures: list[Failure[ClientReason]] = []
         pending = list(self.addresses)
         while pending and self.remaining_s() > 0:
-            reply = await self._operate(pending[0], request, len(pending))
+            # Once the change is written, the other addresses are no longer needed to make it.
+            left = len(pending) if written is None else 1
+            reply = await self._operate(pending[0], request, left)
             if isinstance(reply, pb.OperateReply) and reply.code == "unknown":
                 reply = make_failure(ClientReason.NO_ANSWER, f"{pending[0]}: {reply.message}")
             match reply:
--- a/flamingostack/cli/requests.py
+++ b/flamingostack/cli/requests.py
@@ -18,8 +18,9 @@
 from .files import STANDARD_INPUT, read_file
 from .fleet import describe_unreachable
 from .http import HttpAnswer, HttpReason, get_json, open_session, post_json
-from .output import Outcome, make_error
+from .output import Outcome, format_table, make_error
 
+INDENT = "  "
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 STATUSES_BY_CODE = {
@@ -223,31 +224,44 @@
 
 
 def format_value(value: object, depth: int) -> list[str]:
-    """Format nested JSON as indented lines; a list of flat objects takes one line for each."""
-    indent = "  " * depth
+    """Format nested JSON as indented lines; a list of flat objects becomes a table."""
+    indent = INDENT * depth
     match value:
         case dict():
             lines: list[str] = []
             for key, item in value.items():
-                if isinstance(item, dict | list) and item:
+                if is_nested(item):
                     lines += [f"{indent}{key}:", *format_value(item, depth + 1)]
                 else:
                     lines.append(f"{indent}{key}: {format_flat(item)}")
             return lines
+        case [dict() as first, *others] if is_table(first, others):
+            rows = [[format_flat(cell) for cell in item.values()] for item in value]
+            return [indent + line for line in format_table(list(first), rows)]
         case list():
-            return [line for item in value for line in format_item(item, depth)]
+            return [
+                line
+                for item in value
+                for line in ([f"{indent}-"] if is_nested(item) else [])
+                + format_value(item, depth + is_nested(item))
+            ]
         case _:
             return [f"{indent}{format_flat(value)}"]
 
 
-def format_item(item: object, depth: int) -> list[str]:
-    """Format one item of a list."""
-    indent = "  " * depth
-    if not isinstance(item, dict):
-        return [f"{indent}{format_flat(item)}"]
-    if any(isinstance(value, dict | list) and value for value in item.values()):
-        return [f"{indent}-", *format_value(item, depth + 1)]
-    return [indent + "  ".join(f"{key}={format_flat(value)}" for key, value in item.items())]
+def is_nested(value: object) -> bool:
+    """Tell whether a value takes lines of its own."""
+    return isinstance(value, dict | list) and bool(value)
+
+
+def is_table(first: dict, others: Sequence[object]) -> bool:
+    """Tell whether all objects have the same keys and only flat values."""
+    return all(
+        isinstance(item, dict)
+        and list(item) == list(first)
+        and not any(map(is_nested, item.values()))
+        for item in (first, *others)
+    )
 
 
 def format_flat(value: object) -> str:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -234,12 +234,15 @@
         for member, entry in zip(control.members, entries, strict=True):
             member.member.entry_address = entry.address
         dispatch = await self.start_entry()
-        entries[1].traces_by_path = {"/v1/explain/r%2F1": {"parts": [{"target": "t-a"}]}}
+        attempts = [{"target": "t-a", "why": "primary"}, {"target": "t-b", "why": "hedge"}]
+        trace = {"code": "ok", "attempts": attempts, "missing": [[0, 5]]}
+        entries[1].traces_by_path = {"/v1/explain/r%2F1": trace}
         dispatch.traces_by_path = {"/explain/r%2F1": {"sent": 1}}
         args = ("explain", "r/1", "--dispatch-status", dispatch.address)
         result = await self.run_command(*args, control=[control.address])
         self.assertEqual(result.status, ExitStatus.SUCCESS)
-        self.assertIn("target=t-a", result.stdout)
+        self.assertRegex(result.stdout, r"target +why\n +t-a +primary\n +t-b +hedge\n")
+        self.assertRegex(result.stdout, r"missing:\n +-\n +0\n +5\n")
         self.assertIn("sent: 1", result.stdout)
 
     async def test_a_silent_entry_does_not_delay_a_trace_that_is_found(self):
