Let the launcher run instances through a wrapper, for proofs with a mechanism off

Cause: a proof has to fail without its mechanism, and the product has no switches for that. Ruled out: a setting in the product, which an operator could turn on by mistake. Change: Cluster(wrapper=...), and tests/proofs/mutants.py, which replaces a mechanism in the process that it runs.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -176,6 +176,8 @@
             {"fleet": {"lease_ms": 1000, "sync_ms": 200}}.
         searchers: fields of SearcherConfig that replace those of all searchers.
         preset: the preset put and used at start; "" starts without one.
+        wrapper: arguments of a program that runs an instance's module, such as
+            ["-m", "tests.proofs.mutants", "no-fence"]; empty: the module itself.
     """
 
     def __init__(
@@ -191,8 +193,10 @@
         snapshot: str = "s1",
         seed: int = 1,
         start_instances: bool = True,
+        wrapper: Iterable[str] = (),
     ) -> None:
         self.deployment = deployment
+        self.wrapper = list(wrapper) or ["-m"]
         self.proxied = frozenset(proxied)
         self.settings = settings or {}
         self.searcher_changes = searchers or {}
@@ -361,7 +365,7 @@
             kind: Process(
                 name=f"{instance_id}.{kind}",
                 arguments=[
-                    "-m",
+                    *self.wrapper,
                     f"flamingostack.{kind}",
                     "--settings",
                     str(instance.settings_path),
