Reserve the launcher's ports with file locks

Cause: a searcher ended with 'address already in use' while several clusters ran at once; a port was checked when chosen but not held until its process listened. Ruled out: binding port 0, since a replaced process must come back at the same port. Change: each chosen port is locked by a file for the life of the launcher's process.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -7,6 +7,7 @@
 import base64
 import contextlib
 import ctypes
+import fcntl
 import json
 import os
 import random
@@ -39,6 +40,8 @@
 # Below the kernel's range for outgoing connections, so that a port stays free between its choice
 # and its use, and while its process is being replaced.
 PORTS = range(10_000, 32_000)
+PORT_LOCKS = Path(tempfile.gettempdir()) / "flamingostack-ports"
+RESERVED: list[IO[str]] = []
 POLL_S = 0.05
 READY_WITHIN_S = 20.0
 READY_TIMEOUT_S = 0.3
@@ -53,18 +56,37 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free loopback ports; they are bound together, so that all differ."""
+    """Return free loopback ports that no other launcher on this machine is given.
+
+    A port is reserved by a lock on a file until this process ends: between the choice of a port
+    and its use, another launcher, or this one, would otherwise choose it again.
+    """
     generator = random.Random()
-    with contextlib.ExitStack() as stack:
-        ports: list[int] = []
-        while len(ports) < count:
-            probe = stack.enter_context(socket.socket())
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            port = generator.choice(PORTS)
-            with contextlib.suppress(OSError):
-                probe.bind((HOST, port))
-                ports.append(port)
-        return ports
+    PORT_LOCKS.mkdir(exist_ok=True)
+    ports: list[int] = []
+    while len(ports) < count:
+        port = generator.choice(PORTS)
+        if reserve_port(port):
+            ports.append(port)
+    return ports
+
+
+def reserve_port(port: int) -> bool:
+    """Lock a port for this process; return False if it is in use or reserved."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    lock = (PORT_LOCKS / str(port)).open("w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return False
+    RESERVED.append(lock)
+    return True
 
 
 def die_with_parent() -> None:
