Search interleavings of the ownership, lease and acceptance rules

Cause: the safety of ownership depends on orders of messages, freezes and deaths that single tests do not reach. Found and fixed: a drain that a lost dispatch process never confirmed was forgotten when the receiver became unreachable (next transfer had no reserve); a restarted instance that knew only the document took over partitions whose transfers it had not heard of; a partition given by a process that died before its Transfer arrived had no holder for ever; a new dispatch process was granted claims while requests of its predecessor could be in flight. Ruled out: a longer fixed wait in place of the knowledge of addresses; it does not bound how long a hidden holder may act with votes.

--- a/flamingostack/control/controller.py
+++ b/flamingostack/control/controller.py
@@ -15,7 +15,16 @@
 class Controller:
     """Owns the node. Whoever changes the node calls `changed` in the same synchronous step."""
 
-    __slots__ = ("environment", "node", "followers", "_listeners", "_waiters", "_shared", "_local")
+    __slots__ = (
+        "environment",
+        "node",
+        "followers",
+        "_listeners",
+        "_waiters",
+        "_shared",
+        "_local",
+        "_logged",
+    )
 
     def __init__(self, environment: Environment, node: Node) -> None:
         self.environment = environment
@@ -27,6 +36,7 @@
         self._waiters: set[asyncio.Event] = set()
         self._shared: object = None
         self._local: object = None
+        self._logged: dict[str, object] = {}
 
     def now_ns(self) -> int:
         """Return the boottime clock's reading."""
@@ -55,6 +65,8 @@
             (peer.member.incarnation, peer.member.leaving, peer.member.dispatch_down)
             for peer in node.membership.live(now_ns)
         )
+        self._log_change("lease", source=node.lease_source if node.is_current(now_ns) else "none")
+        self._log_change("members", live=[name for name, _, _ in live])
         local = (shared, grants, live, node.index_revision, len(node.indexes))
         if local != self._local:
             self._local = local
@@ -66,6 +78,11 @@
         for waiter in self._waiters:
             waiter.set()
 
+    def _log_change(self, event: str, **values: object) -> None:
+        if self._logged.get(event) != values:
+            self._logged[event] = values
+            self.environment.log.info(event, **values)
+
     def _update_own(self, now_ns: int) -> None:
         node = self.node
         applied = self.followers.applied_version(node.document.version, now_ns)
--- a/flamingostack/control/follow.py
+++ b/flamingostack/control/follow.py
@@ -17,6 +17,7 @@
 
     __slots__ = (
         "process",
+        "is_new",
         "applied_version",
         "granted",
         "drained",
@@ -31,6 +32,8 @@
 
     def __init__(self, process: str, now_ns: int) -> None:
         self.process = process
+        # A process that has applied no state yet has just started.
+        self.is_new = False
         self.applied_version = 0
         self.granted: set[ClaimKey] = set()
         self.drained: set[ClaimKey] = set()
@@ -56,14 +59,14 @@
         self.shutting_down = report.shutting_down
         self.finished = report.finished
 
-    def make_update(self, node: Node, now_ns: int) -> pb.StateUpdate:
-        """Return the next update and record what it grants."""
+    def make_update(self, node: Node, withheld: set[ClaimKey], now_ns: int) -> pb.StateUpdate:
+        """Return the next update and record what it grants; `withheld` claims are left out."""
         update = pb.StateUpdate(
             protocol=PROTOCOL,
             members=[node.own, *(peer.member for peer in node.membership.live(now_ns))],
             partitions=node.partitions.values(),
             lease_until_ns=node.lease_until_ns,
-            grants=node.grants(),
+            grants=[item for item in node.grants() if claim_key(item) not in withheld],
             own_member=node.own,
             store_reachable=node.has_store_contact(now_ns),
             leaving=node.own.leaving,
@@ -105,9 +108,12 @@
         self.lease_ns = lease_ns
         self.max_request_ns = max_request_ns
 
-    def connect(self, process: str, now_ns: int) -> Follower:
-        """Add a process that has just connected."""
+    def connect(self, report: pb.FollowReport, now_ns: int) -> Follower:
+        """Add a process that has just connected, with its first report."""
+        process = report.process
         follower = Follower(process, now_ns)
+        follower.on_report(report, now_ns)
+        follower.is_new = report.applied_version == 0
         self.connected.append(follower)
         for lost in self.lost:
             # The same process, or one that took its place at the same address.
@@ -120,6 +126,20 @@
         if not follower.finished:
             self.lost.append(Lost(follower, now_ns))
 
+    def withheld_from(self, follower: Follower, now_ns: int) -> set[ClaimKey]:
+        """Return the claims for which a process's predecessor may have requests in flight.
+
+        The predecessor ended before a new process could listen at its address.
+        """
+        if not follower.is_new:
+            return set()
+        return {
+            key
+            for lost in self.lost
+            if lost.process == follower.process and now_ns < lost.lost_ns + self.max_request_ns
+            for key in lost.granted
+        }
+
     def wake_all(self) -> None:
         """Send an update to each process now."""
         for follower in self.connected:
--- a/flamingostack/control/keeper.py
+++ b/flamingostack/control/keeper.py
@@ -32,8 +32,9 @@
         "presets",
         "addresses",
         "write_lock",
-        "_seen_version",
+        "seen_version",
         "_failing",
+        "_listed",
     )
 
     def __init__(self, controller: Controller, store: Store) -> None:
@@ -43,8 +44,9 @@
         self.addresses: set[str] = set()
         self.write_lock = asyncio.Lock()
         # Document version that the store showed last; 0: none.
-        self._seen_version = 0
+        self.seen_version = 0
         self._failing: set[str] = set()
+        self._listed: set[str] = set()
 
     async def watch_document(self) -> None:
         """Follow the document until cancelled; create it if the store has none."""
@@ -82,7 +84,7 @@
                 )
                 await asyncio.sleep(RETRY_S)
             since = changes.revision
-            created = self._seen_version or prefix != FLEET_PREFIX
+            created = self.seen_version or prefix != FLEET_PREFIX
             wait_ms = poll_ms if created else int(RETRY_S * 1000)
 
     def _log_failure(self, subject: str, failure: StoreFailure) -> None:
@@ -100,15 +102,15 @@
     async def _on_fleet_objects(self, objects: list[StoredObject], sent_ns: int) -> None:
         for item in objects:
             if item.key == DOCUMENT_KEY:
-                self._on_document(item)
-        if self._seen_version:
+                self.on_document(item)
+        if self.seen_version:
             node = self.controller.node
-            node.on_store_read(self._seen_version, sent_ns, self.controller.now_ns())
-            self._check_seen_version()
+            node.on_store_read(self.seen_version, sent_ns, self.controller.now_ns())
+            self._checkseen_version()
         else:
             await self._bootstrap()
 
-    def _on_document(self, item: StoredObject) -> None:
+    def on_document(self, item: StoredObject) -> None:
         """Adopt the store's document if it is newer; an unusable one counts as not seen."""
         log = self.controller.environment.log
         node = self.controller.node
@@ -118,21 +120,21 @@
         node.store_version = item.version
         document = decode_document(item.value)
         if isinstance(document, str):
-            self._seen_version = 0
+            self.seen_version = 0
             log.error("document_unusable", store_version=item.version, reason=document)
             return
-        self._seen_version = document.version
+        self.seen_version = document.version
         if node.adopt_document(document, self.controller.now_ns()):
             log.info("document_adopted", version=document.version, source="store")
 
-    def _check_seen_version(self) -> None:
+    def _checkseen_version(self) -> None:
         own_version = self.controller.node.document.version
-        if self._seen_version < own_version and "lost_writes" not in self._failing:
+        if self.seen_version < own_version and "lost_writes" not in self._failing:
             self._failing.add("lost_writes")
             self.controller.environment.log.warning(
-                "store_is_behind", store=self._seen_version, own=own_version
+                "store_is_behind", store=self.seen_version, own=own_version
             )
-        elif self._seen_version == own_version:
+        elif self.seen_version == own_version:
             self._failing.discard("lost_writes")
 
     async def _bootstrap(self) -> None:
@@ -183,14 +185,13 @@
         item = await self.store.get(DOCUMENT_KEY)
         if isinstance(item, StoreFailure):
             return item
-        self._on_document(item)
+        self.on_document(item)
         node = self.controller.node
-        node.on_store_read(self._seen_version, sent_ns, self.controller.now_ns())
+        node.on_store_read(self.seen_version, sent_ns, self.controller.now_ns())
         self.controller.changed()
-        if self._seen_version != node.document.version:
+        if self.seen_version != node.document.version:
             message = (
-                f"the store's document has version {self._seen_version},"
-                f" not {node.document.version}"
+                f"the store's document has version {self.seen_version}, not {node.document.version}"
             )
             return StoreFailure(StoreReason.UNAVAILABLE, message)
         return None
@@ -206,7 +207,7 @@
             return result
         if result > node.store_version:
             node.store_version = result
-            self._seen_version = document.version
+            self.seen_version = document.version
         now_ns = self.controller.now_ns()
         node.adopt_document(document, now_ns)
         node.on_store_read(document.version, sent_ns, now_ns)
@@ -219,13 +220,25 @@
             listed = await self.store.instances()
             if not isinstance(listed, StoreFailure):
                 self.addresses = {item.control_address for item in listed if item.control_address}
+                self._add_seeds()
                 self._forget_vanished()
                 self.controller.changed()
             await asyncio.sleep(INSTANCES_INTERVAL_S)
 
+    def _add_seeds(self) -> None:
+        """Expect a process at each listed address of which nothing is known."""
+        node = self.controller.node
+        known = {node.own.control_address}
+        known.update(peer.member.control_address for peer in node.membership.peers.values())
+        new = self.addresses - known - self._listed
+        self._listed |= new
+        node.seeds |= new
+
     def _forget_vanished(self) -> None:
         now_ns = self.controller.now_ns()
         node = self.controller.node
+        if now_ns - node.started_ns > VANISHED_NS:
+            node.seeds &= self.addresses
         node.forget_members(
             now_ns,
             vanished=[
--- a/flamingostack/control/service.py
+++ b/flamingostack/control/service.py
@@ -63,9 +63,7 @@
         report = await stream.recv_message()
         if report is None:
             return
-        now_ns = self.controller.now_ns()
-        follower = self.controller.followers.connect(report.process, now_ns)
-        follower.on_report(report, now_ns)
+        follower = self.controller.followers.connect(report, self.controller.now_ns())
         self.controller.changed()
         self.controller.environment.log.info("follower_connected", follower=report.process)
         reader = asyncio.create_task(self._read_reports(stream, follower))
@@ -105,7 +103,9 @@
                     "follower_silent", follower=follower.process
                 )
                 raise GRPCError(Status.DEADLINE_EXCEEDED, "no report for the time of a lease")
-            await stream.send_message(follower.make_update(self.controller.node, now_ns))
+            withheld = self.controller.followers.withheld_from(follower, now_ns)
+            update = follower.make_update(self.controller.node, withheld, now_ns)
+            await stream.send_message(update)
             await wait_for_event(follower.wake, interval_s)
 
     async def Operate(  # noqa: N802
--- a/flamingostack/fleet/acceptance.py
+++ b/flamingostack/fleet/acceptance.py
@@ -13,18 +13,21 @@
 from .partitions import majority_of
 
 
-def has_settled(membership: Membership, incarnation: str, version: int) -> bool:
+def has_settled(
+    membership: Membership, incarnation: str, version: int, unknown_members: bool
+) -> bool:
     """Tell whether an incarnation can no longer vote for a state older than `version`.
 
     A dead process counts only if it cannot have transferred partitions that this instance has not
-    heard of: every member that is behind must have answered, with its claims, after the death.
+    heard of: every member that is behind must have answered, with its claims, after the death, and
+    there must be no address whose process has never been heard of.
     """
     peer = membership.peers.get(incarnation)
     if peer is None:
         return False
     if peer.version >= version:
         return True
-    if not peer.dead_ns:
+    if not peer.dead_ns or unknown_members:
         return False
     return all(
         other is peer
@@ -41,6 +44,7 @@
     membership: Membership,
     own_version: int,
     version: int,
+    unknown_members: bool,
 ) -> int:
     """Return how many voting partitions may still vote for a state older than `version`."""
     settled_by_name = {membership.own.incarnation: own_version >= version}
@@ -52,7 +56,7 @@
             continue
         for name in (partition.holder.incarnation, *partition.unresolved_holders):
             if name not in settled_by_name:
-                settled_by_name[name] = has_settled(membership, name, version)
+                settled_by_name[name] = has_settled(membership, name, version, unknown_members)
             if not settled_by_name[name]:
                 missing += 1
                 break
--- a/flamingostack/fleet/node.py
+++ b/flamingostack/fleet/node.py
@@ -71,6 +71,7 @@
         "floors",
         "membership",
         "seeds",
+        "unclaimed_ns",
         "applied_version",
         "store_contact_ns",
         "lease_until_ns",
@@ -100,8 +101,11 @@
         self.stopping: dict[int, set[Claim]] = {}
         self.floors: dict[int, Claim] = {}
         self.membership = Membership(own, timing.suspect_ns)
-        # Addresses that have neither answered nor refused yet.
+        # Addresses that have neither answered nor refused yet: there may be a process that nobody
+        # known has told of.
         self.seeds = set(seeds)
+        # Since when a claim has named this process as holder without its transfer having arrived.
+        self.unclaimed_ns: dict[tuple[int, Claim], int] = {}
         self.applied_version = 0
         self.store_contact_ns: int | None = None
         self.lease_until_ns = NO_LEASE
@@ -309,6 +313,7 @@
         self._update_lease(now_ns)
         self._update_acceptances(now_ns)
         self._update_claims(now_ns)
+        self._update_unclaimed(now_ns)
 
     def _update_announced(self, now_ns: int) -> None:
         """Let the peers know of this process before its first lease.
@@ -323,8 +328,11 @@
         waited = now_ns - self.started_ns >= self.timing.suspect_ns
         if len(answered) == len(living) and not self.seeds:
             self.announced = True
+        elif self.document.version == 1 and len(self.accepted_claims) == len(self.partitions):
+            # The first document, made by this process: there is no state before it.
+            self.announced = True
         elif waited:
-            self.announced = bool(answered) or not living
+            self.announced = bool(answered)
 
     def _update_lease(self, now_ns: int) -> None:
         if not self.document.version or not self.announced:
@@ -401,6 +409,7 @@
             membership=self.membership,
             own_version=self.document.version,
             version=version,
+            unknown_members=bool(self.seeds),
         )
         return has_quorum(missing, self.document.voter_count)
 
@@ -480,7 +489,7 @@
             if self.stopping.get(number):
                 # An earlier own claim is still in use.
                 continue
-            everyone = all(
+            everyone = not self.seeds and all(
                 name in self.releases[number] or self._has_stopped(peer, now_ns)
                 for name, peer in self.membership.peers.items()
             )
@@ -489,6 +498,16 @@
             if everyone or self._is_accepted_and_over(self.seen_versions[number], now_ns):
                 self.ready_claims[number] = claim
 
+    def _update_unclaimed(self, now_ns: int) -> None:
+        own = self.own.incarnation
+        self.unclaimed_ns = {
+            (number, claim_of(partition)): self.unclaimed_ns.get(
+                (number, claim_of(partition)), now_ns
+            )
+            for number, partition in self.partitions.items()
+            if partition.holder.incarnation == own and number not in self.accepted_claims
+        }
+
     def _resolve_holders(self, partition: pb.Partition, now_ns: int) -> None:
         """Drop the previous holders that can send nothing at all any more."""
         kept = [
@@ -585,16 +604,16 @@
         self.giving[number] = Giving(self.accepted_claims[number], receiver)
         return True
 
-    def cancel_giving(self, number: int) -> None:
-        """Keep a partition that is being drained, under a new claim.
+    def _cancel_giving(self, number: int, confirmed: bool) -> None:
+        """Keep a partition under a new claim, as its receiver cannot take it.
 
-        The old claim may be reported as drained at any time, so it is not granted again.
+        The old claim is reported as drained, so it is not granted again. If a lost process may
+        still use it, the new claim is not granted before that is over.
         """
-        giving = self.giving.pop(number, None)
-        if giving is None:
-            return
-        ready = number in self.ready_claims
-        self._raise_own_claim(number, ready)
+        claim = self.giving.pop(number).claim
+        if not confirmed:
+            self.stopping.setdefault(number, set()).add(claim)
+        self._raise_own_claim(number, ready=confirmed and number in self.ready_claims)
 
     def _raise_own_claim(self, number: int, ready: bool) -> None:
         partition = self.partitions[number]
@@ -612,7 +631,7 @@
         peer = self.membership.peers.get(giving.receiver)
         reached = peer is not None and self.membership.is_reached(peer, now_ns)
         if not reached or peer.member.leaving or peer.member.dispatch_down:
-            self.cancel_giving(number)
+            self._cancel_giving(number, confirmed)
             return
         ready = number in self.ready_claims
         partition = pb.Partition()
--- a/flamingostack/fleet/takeover.py
+++ b/flamingostack/fleet/takeover.py
@@ -52,8 +52,10 @@
 
     The previous holder stays unresolved until it is known to have stopped.
     """
-    if not is_coordinator(node, now_ns) or not reaches_enough_voters(node, now_ns):
+    if not reaches_enough_voters(node, now_ns):
         return []
+    if not is_coordinator(node, now_ns):
+        return plan_claiming(node, now_ns)
     lost = find_lost_holders(node, now_ns)
     numbers = [
         number
@@ -67,10 +69,27 @@
             counts[partition.holder.incarnation] += 1
     domains = {name: member.failure_domain for name, member in receivers.items()}
     assigned = spread(numbers, counts, domains, node.document.failure_domains)
-    return [
+    claims = [
         make_next_claim(node.partitions[number], receivers[receiver])
         for number, receiver in assigned.items()
     ]
+    return claims + plan_claiming(node, now_ns)
+
+
+def plan_claiming(node: Node, now_ns: int) -> list[pb.Partition]:
+    """Return claims on partitions that were given to this process by a giver that is gone.
+
+    The giver gave up its claim, but its transfer never arrived, so nobody holds the partition. The
+    claim of the next term makes a transfer that arrives after all be ignored.
+    """
+    if node.own.leaving or not node.has_store_contact(now_ns) or not node.is_current(now_ns):
+        return []
+    wait_ns = node.timing.suspect_ns + node.timing.lease_ns
+    return [
+        make_next_claim(node.partitions[number], node.own)
+        for (number, _), since_ns in node.unclaimed_ns.items()
+        if now_ns - since_ns >= wait_ns
+    ]
 
 
 def make_next_claim(partition: pb.Partition, holder: pb.Member) -> pb.Partition:
--- /dev/null
+++ b/tests/fleet/model.py
@@ -0,0 +1,628 @@
+"""A small fleet on a simulated clock, which runs the real rules through hostile interleavings.
+
+Each host has a control process (the real Node, Followers, Controller and StateFeed) and a dispatch
+process that sends to each partition whenever it may. Messages are delayed and lost at random; the
+caller adds cuts, freezes, kills and store outages. `check` states what must never happen.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import types
+from collections.abc import Callable
+
+import structlog
+
+from flamingostack.control.controller import Controller
+from flamingostack.control.follow import Follower
+from flamingostack.control.keeper import Keeper
+from flamingostack.control.ownership import make_takeover_document
+from flamingostack.fleet.document import add_change, copy_claims, make_document
+from flamingostack.fleet.node import Node, Timing
+from flamingostack.fleet.takeover import plan_takeover
+from flamingostack.generated import messages_pb2 as pb
+from flamingostack.state import FleetView, StateFeed
+from flamingostack.store import StoredObject
+
+MS = 1_000_000
+LEASE_MS, MARGIN_MS, SUSPECT_MS, MAX_REQUEST_MS = 300, 30, 200, 100
+SYNC_MS, TICK_MS, TIMEOUT_MS, FOLLOW_MS = 50, 20, 100, 40
+TIMING = Timing(LEASE_MS * MS, MARGIN_MS * MS, SUSPECT_MS * MS, MAX_REQUEST_MS * MS)
+LOG = structlog.wrap_logger(
+    structlog.PrintLogger(), processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)]
+)
+
+
+class ViolationError(AssertionError):
+    """Something happened that must never happen."""
+
+
+class Local:
+    """A dispatch process. `armed` are the partitions it could send to when it was frozen."""
+
+    def __init__(self, host: Host) -> None:
+        settings = types.SimpleNamespace()
+        environment = types.SimpleNamespace(now_ns=host.now_ns, log=LOG, settings=settings)
+        self.host = host
+        self.feed = StateFeed(environment, "dispatch")
+        self.granted: dict[int, pb.PartitionGrant] = {}
+        self.follower: Follower | None = None
+        self.frozen = False
+        self.alive = True
+        self.armed: set[int] = set()
+        self.inbox: list[pb.StateUpdate] = []
+        self.last_live_ns: dict[int, int] = {}
+
+    def live_grants(self) -> dict[int, pb.PartitionGrant]:
+        if not self.alive or self.frozen or not self.feed.is_current():
+            return {}
+        return self.feed.view.grants_by_partition
+
+    def receive(self, update: pb.StateUpdate) -> None:
+        if self.frozen:
+            self.inbox.append(update)
+        elif self.alive:
+            self.feed.apply(update)
+            self.drain(self.feed.view)
+            self.report()
+
+    def drain(self, view: FleetView) -> None:
+        """Report each revoked claim once its last request has ended."""
+        for number, grant in self.granted.items():
+            current = view.grants_by_partition.get(number)
+            if current is None or (current.term, current.transfer) != (grant.term, grant.transfer):
+                claim = pb.PartitionClaim(number=number, term=grant.term, transfer=grant.transfer)
+                delay_ms = self.host.world.random.choice([0, 0, MAX_REQUEST_MS])
+                self.host.world.later(delay_ms, lambda claim=claim: self.on_drained(claim))
+        self.granted = dict(view.grants_by_partition)
+
+    def on_drained(self, claim: pb.PartitionClaim) -> None:
+        if not self.alive:
+            return
+        if self.frozen:
+            self.host.world.later(TICK_MS, lambda: self.on_drained(claim))
+            return
+        if claim.number not in self.granted:
+            self.last_live_ns.pop(claim.number, None)
+        self.feed.report_drained([claim])
+        self.report()
+
+    def report(self) -> None:
+        report = self.feed._make_report()
+        follower = self.follower
+        if follower is not None:
+            self.host.run(lambda: self.host.on_report(follower, report))
+
+    def thaw(self) -> None:
+        """Resume: one request may be sent without a check, then what has arrived is read."""
+        self.frozen = False
+        self.armed.clear()
+        inbox, self.inbox = self.inbox, []
+        for update in inbox:
+            self.receive(update)
+
+
+class Host:
+    """One machine: its clock, its control process and its dispatch process."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world = world
+        self.number = number
+        self.offset_ns = world.random.randrange(10**12)
+        self.drift = world.random.uniform(-0.02, 0.02)
+        self.boots = 0
+        self.frozen = False
+        self.inbox: list[Callable[[], None]] = []
+        self.controller: Controller | None = None
+        self.local = Local(self)
+
+    def now_ns(self) -> int:
+        return self.offset_ns + int(self.world.now_ns * (1 + self.drift))
+
+    @property
+    def node(self) -> Node:
+        return self.controller.node
+
+    def start(self) -> None:
+        """Start the control process, as a new incarnation."""
+        self.boots += 1
+        own = pb.Member(
+            instance=f"h{self.number}",
+            incarnation=f"h{self.number}-{self.boots}",
+            failure_domain="abc"[self.number % 3],
+            control_address=f"c{self.number}",
+            dispatch_addresses=[f"d{self.number}"],
+            dispatch_down=True,
+        )
+        seeds = [f"c{host.number}" for host in self.world.hosts if host is not self]
+        node = self.world.node_class(own, TIMING, self.now_ns(), seeds)
+        environment = types.SimpleNamespace(now_ns=self.now_ns, log=LOG, settings=None)
+        self.controller = Controller(environment, node)
+        self.keeper = Keeper(self.controller, store=None)
+        self.busy: dict[str, int] = {}
+        self.world.hosts.append(self) if self not in self.world.hosts else None
+        self.tick(self.controller)
+
+    def kill(self) -> None:
+        """End the control process."""
+        self.controller = None
+        self.frozen = False
+        self.inbox.clear()
+        self.local.follower = None
+
+    def thaw(self) -> None:
+        self.frozen = False
+        inbox, self.inbox = self.inbox, []
+        for work in inbox:
+            self.run(work)
+
+    def run(self, work: Callable[[], None]) -> None:
+        """Run work in the present control process, or keep it while that is frozen."""
+        controller = self.controller
+        if controller is None:
+            return
+        if self.frozen:
+            self.inbox.append(work)
+            return
+        work()
+        if self.controller is controller:
+            controller.changed()
+
+    def tick(self, controller: Controller) -> None:
+        """Do what the control process does a few times in each sync interval."""
+        if self.controller is not controller:
+            return
+        self.world.later(TICK_MS, lambda: self.tick(controller))
+        if not self.frozen:
+            self.run(self.step)
+
+    def step(self) -> None:
+        node, world, now_ns = self.node, self.world, self.now_ns()
+        self.controller.tick()
+        self.follow(now_ns)
+        for claim in node.drain_claims():
+            drained = self.controller.followers.find_drained(claim, now_ns)
+            if drained is not None:
+                node.on_drained(claim, drained, now_ns)
+        for number, receiver in node.plan_gifts(now_ns):
+            node.start_giving(number, receiver)
+        world.sync(self)
+        world.transfer(self)
+        world.release(self)
+        for address in node.membership.addresses_to_probe():
+            world.probe(self, address)
+        if self.controller.followers.has_unproven() and not self.local.alive:
+            self.controller.followers.on_dispatch_refused()
+        world.read_store(self)
+        if plan_takeover(node, now_ns):
+            world.write_store(self, self.make_takeover)
+        elif world.random.random() < 0.01:
+            world.write_store(self, self.make_copy)
+        self.controller.followers.forget(now_ns)
+        for version in {node.document.version} - node.acceptances.keys():
+            node.track(version)
+
+    def make_takeover(self) -> pb.FleetDocument | None:
+        claims = plan_takeover(self.node, self.now_ns())
+        return make_takeover_document(self.node, claims) if claims else None
+
+    def make_copy(self) -> pb.FleetDocument:
+        return copy_claims(self.node.document, self.node.partitions.values())
+
+    def make_change(self) -> pb.FleetDocument:
+        change = pb.Change(change_id=str(self.world.random.random()), operator="ann")
+        return add_change(self.node.document, change, self.node.partitions.values())
+
+    def follow(self, now_ns: int) -> None:
+        """Connect the dispatch process, drop it if it is silent, and send it the state."""
+        followers, local = self.controller.followers, self.local
+        if local.follower is not None and now_ns - local.follower.heard_ns > TIMING.lease_ns:
+            self.on_disconnect(local.follower)
+            local.follower = None
+        if local.follower is None and local.alive and not local.frozen:
+            local.follower = followers.connect(local.feed._make_report(), now_ns)
+        if local.follower is not None:
+            withheld = followers.withheld_from(local.follower, now_ns)
+            update = local.follower.make_update(self.node, withheld, now_ns)
+            self.world.later(0, lambda: local.receive(update))
+
+    def on_disconnect(self, follower: Follower) -> None:
+        if follower in self.controller.followers.connected:
+            self.controller.followers.disconnect(follower, self.now_ns())
+
+    def on_report(self, follower: Follower, report: pb.FollowReport) -> None:
+        if follower in self.controller.followers.connected:
+            follower.on_report(report, self.now_ns())
+
+
+class World:
+    """All hosts, the network and the store."""
+
+    def __init__(
+        self, seed: int, hosts: int = 3, partitions: int = 3, node_class: type[Node] = Node
+    ) -> None:
+        self.random = random.Random(seed)
+        self.node_class = node_class
+        self.now_ns = 0
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.sequence = 0
+        self.cuts: set[frozenset[int]] = set()
+        self.hosts: list[Host] = []
+        self.store_down = False
+        self.store_cuts: set[int] = set()
+        self.object: StoredObject | None = None
+        self.partition_count = partitions
+        self.versions: dict[int, int] = {}
+        self.accepted_version = 0
+        self.accepted_count = 0
+        self.takeovers = 0
+        self.vote_floors: dict[tuple[int, tuple[int, int]], int] = {}
+        for number in range(hosts):
+            host = Host(self, number)
+            host.start()
+
+    # ---- Time and messages -----------------------------------------------
+
+    def later(self, delay_ms: float, work: Callable[[], None]) -> None:
+        self.sequence += 1
+        due_ns = self.now_ns + int(delay_ms * MS)
+        heapq.heappush(self.events, (due_ns, self.sequence, work))
+
+    def advance(self, duration_ms: float) -> None:
+        end_ns = self.now_ns + int(duration_ms * MS)
+        while self.events and self.events[0][0] <= end_ns:
+            self.now_ns, _, work = heapq.heappop(self.events)
+            work()
+            self.check()
+        self.now_ns = end_ns
+        self.check()
+
+    def delay_ms(self) -> float | None:
+        """Return how long a message takes; None: it is lost."""
+        choice = self.random.random()
+        if choice < 0.03:
+            return None
+        return self.random.uniform(100, 800) if choice < 0.06 else self.random.uniform(0, 8)
+
+    def is_cut(self, first: int, second: int) -> bool:
+        return frozenset((first, second)) in self.cuts
+
+    def call(self, host: Host, kind: str, peer: int, handle: Callable, on_reply: Callable) -> None:
+        """Send one request to a peer's control process, unless one of its kind is under way."""
+        key = f"{kind}{peer}"
+        if host.busy.get(key, -1) > self.now_ns or peer == host.number:
+            return
+        limit_ns = host.busy[key] = self.now_ns + TIMEOUT_MS * MS
+        controller = host.controller
+
+        def back(work: Callable[[], None]) -> None:
+            delay_ms = self.delay_ms()
+            if delay_ms is not None and not self.is_cut(host.number, peer):
+                self.later(delay_ms, lambda: arrive(work))
+
+        def arrive(work: Callable[[], None]) -> None:
+            if host.controller is controller and self.now_ns < limit_ns:
+                host.busy.pop(key, None)
+                host.run(lambda: host.controller is controller and work())
+
+        def serve() -> None:
+            other = self.hosts[peer]
+            if self.is_cut(host.number, peer):
+                return
+            if other.controller is None:
+                back(lambda: host.node.on_refused(f"c{peer}", host.now_ns()))
+            else:
+                other.run(lambda: answer(other))
+
+        def answer(other: Host) -> None:
+            reply = handle(other)
+            back(lambda: on_reply(reply))
+
+        delay_ms = self.delay_ms()
+        if delay_ms is not None:
+            self.later(delay_ms, serve)
+
+    def sync(self, host: Host) -> None:
+        node = host.node
+        for other in self.hosts:
+            if self.random.random() > TICK_MS / SYNC_MS:
+                continue
+            name = f"h{other.number}-{other.boots}"
+            request = node.make_sync_request(name)
+            sent_ns, revision = host.now_ns(), node.claims_revision
+            self.call(
+                host,
+                "sync",
+                other.number,
+                lambda peer, request=request: peer.node.on_sync_request(request, peer.now_ns()),
+                lambda reply, sent_ns=sent_ns, revision=revision: node.on_sync_reply(
+                    reply, sent_ns, revision, host.now_ns()
+                ),
+            )
+
+    def transfer(self, host: Host) -> None:
+        node = host.node
+        for receiver, partitions in node.transfers_to_send().items():
+            request = pb.TransferRequest(
+                protocol=1, giver=node.own, partitions=partitions, document=node.document
+            )
+            self.call(
+                host,
+                "transfer",
+                int(receiver[1]),
+                lambda peer, request=request: peer.node.on_transfer_request(request, peer.now_ns()),
+                lambda reply, request=request: node.on_transfer_reply(
+                    reply, request.partitions, host.now_ns()
+                ),
+            )
+
+    def release(self, host: Host) -> None:
+        node = host.node
+        claims = node.waiting_claims()
+        for name in node.peers_to_ask() if claims else []:
+            self.call(
+                host,
+                "release",
+                int(name[1]),
+                lambda peer: peer.node.on_release_request(claims),
+                lambda reply: node.on_release_reply(
+                    reply.incarnation, claims, reply.released, host.now_ns()
+                ),
+            )
+
+    def probe(self, host: Host, address: str) -> None:
+        other = self.hosts[int(address[1])]
+        if (
+            address[0] == "d"
+            and not other.local.alive
+            and not self.is_cut(host.number, other.number)
+        ):
+            host.node.on_refused(address, host.now_ns())
+
+    # ---- Store -----------------------------------------------------------
+
+    def use_store(self, host: Host, kind: str, serve: Callable, on_answer: Callable) -> None:
+        """Send one request to the store; its effect and its answer are lost separately."""
+        if host.busy.get(kind, -1) > self.now_ns:
+            return
+        limit_ns = host.busy[kind] = self.now_ns + TIMEOUT_MS * MS
+        controller = host.controller
+
+        def arrive(answer: object) -> None:
+            if host.controller is controller and self.now_ns < limit_ns:
+                host.busy.pop(kind, None)
+                host.run(lambda: host.controller is controller and on_answer(answer))
+
+        def reach() -> None:
+            if self.store_down or host.number in self.store_cuts:
+                return
+            answer = serve()
+            delay_ms = self.delay_ms()
+            if delay_ms is not None:
+                self.later(delay_ms, lambda: arrive(answer))
+
+        delay_ms = self.delay_ms()
+        if delay_ms is not None:
+            self.later(delay_ms, reach)
+
+    def read_store(self, host: Host, then: Callable[[], None] | None = None) -> None:
+        sent_ns = host.now_ns()
+
+        def on_answer(item: StoredObject | None) -> None:
+            if item is None:
+                if not host.node.document.version and not host.node.seeds:
+                    self.use_store(host, "write", lambda: self.create(host), lambda _: None)
+                return
+            host.keeper.on_document(item)
+            host.node.on_store_read(host.keeper.seen_version, sent_ns, host.now_ns())
+            if then is not None and host.keeper.seen_version == host.node.document.version:
+                then()
+
+        kind = "read" if then is None else "fresh"
+        self.use_store(host, kind, lambda: self.object, on_answer)
+
+    def create(self, host: Host) -> None:
+        if self.object is None and host.controller is not None:
+            count = self.partition_count
+            document = make_document(host.node.own, count, count, ["a", "b", "c"])
+            self.object = StoredObject("fleet/document", 1, document.SerializeToString())
+
+    def write_store(self, host: Host, make: Callable[[], pb.FleetDocument | None]) -> None:
+        """Read the document, then replace it on the version that was read."""
+
+        def write() -> None:
+            node = host.node
+            document = make()
+            if document is None:
+                return
+            version, value = node.store_version, document.SerializeToString()
+            sent_ns = host.now_ns()
+
+            def on_answer(written: int | None) -> None:
+                if written is None:
+                    return
+                node.store_version = max(written, node.store_version)
+                if written == node.store_version:
+                    host.keeper.seen_version = document.version
+                node.adopt_document(document, host.now_ns())
+                node.on_store_read(document.version, sent_ns, host.now_ns())
+
+            self.use_store(host, "write", lambda: self.replace(version, value), on_answer)
+
+        self.read_store(host, then=write)
+
+    def replace(self, version: int, value: bytes) -> int | None:
+        if self.object is None or self.object.version != version:
+            return None
+        document = pb.FleetDocument.FromString(value)
+        self.takeovers += bool(
+            document.recent_changes and document.recent_changes[-1].change_id[:8] == "takeover"
+        )
+        self.object = StoredObject("fleet/document", version + 1, value)
+        return version + 1
+
+    # ---- What must never happen ------------------------------------------
+
+    def check(self) -> None:
+        self.check_grants()
+        self.check_acceptance()
+        self.check_votes()
+
+    def check_grants(self) -> None:
+        """No two processes may send for a partition, but for what the reserve covers."""
+        locals_ = [host.local for host in self.hosts] + self.old_locals
+        for local in locals_:
+            for number, grant in local.live_grants().items():
+                stale = 0
+                for other in locals_:
+                    if other is local:
+                        continue
+                    if number in other.live_grants():
+                        raise ViolationError(f"two live grants for partition {number}")
+                    stale += other.alive and other.frozen and number in other.armed
+                    last_ns = other.last_live_ns.get(number)
+                    if last_ns is not None and self.now_ns < last_ns + MAX_REQUEST_MS * MS:
+                        raise ViolationError(f"requests in flight for partition {number}")
+                if stale > grant.reserve:
+                    raise ViolationError(f"reserve {grant.reserve} for {stale} frozen processes")
+                local.last_live_ns[number] = self.now_ns
+
+    @property
+    def old_locals(self) -> list[Local]:
+        return [old for host in self.hosts for old in getattr(host, "old_locals", [])]
+
+    def check_acceptance(self) -> None:
+        """No process acts on a state before an accepted one, and none goes back."""
+        for host in self.hosts:
+            local = host.local
+            if host.controller is not None:
+                accepted = [a.version for a in host.node.acceptances.values() if a.accepted_ns]
+                newest = max(accepted, default=0)
+                self.accepted_count += newest > self.accepted_version
+                self.accepted_version = max(self.accepted_version, newest)
+            version = local.feed.view.document.version
+            if version < self.versions.get(id(local), 0):
+                raise ViolationError(f"version went back to {version}")
+            self.versions[id(local)] = version
+        for host in self.hosts:
+            local = host.local
+            acting = local.alive and not local.frozen and local.feed.is_current()
+            if acting and local.feed.view.document.version < self.accepted_version:
+                raise ViolationError(
+                    f"acts on version {local.feed.view.document.version},"
+                    f" {self.accepted_version} is accepted"
+                )
+
+    def check_votes(self) -> None:
+        """Check that no vote moves to a state older than its earlier holder's."""
+        holders: dict[int, list[tuple[tuple[int, int], int]]] = {}
+        for host in self.hosts:
+            if host.controller is None:
+                continue
+            for number, claim in host.node.accepted_claims.items():
+                version = host.node.document.version
+                holders.setdefault(number, []).append((claim, version))
+        for number, claims in holders.items():
+            for (term, transfer), version in claims:
+                earlier = self.vote_floors.get((number, (term, transfer - 1)), 0)
+                if version < earlier:
+                    raise ViolationError(f"vote {number} moved from version {earlier} to {version}")
+                self.vote_floors[(number, (term, transfer))] = version
+
+    # ---- Faults ----------------------------------------------------------
+
+    def freeze_dispatch(self, host: Host) -> None:
+        local = host.local
+        if local.alive and not local.frozen:
+            local.armed = set(local.live_grants())
+            local.frozen = True
+
+    def kill_dispatch(self, host: Host) -> None:
+        host.local.alive = False
+        host.local.frozen = False
+        host.local.armed.clear()
+        follower, host.local.follower = host.local.follower, None
+        if follower is not None:
+            host.run(lambda: host.on_disconnect(follower))
+
+    def restart(self, host: Host) -> None:
+        """Start whichever of the host's processes is dead."""
+        if not host.local.alive:
+            if not hasattr(host, "old_locals"):
+                host.old_locals = []
+            host.old_locals.append(host.local)
+            host.local = Local(host)
+        if host.controller is None:
+            host.start()
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        self.store_cuts.clear()
+        self.store_down = False
+        for host in self.hosts:
+            if host.local.frozen:
+                host.local.thaw()
+            if host.frozen:
+                host.thaw()
+            self.restart(host)
+
+    def is_served(self) -> bool:
+        served = [number for host in self.hosts for number in host.local.live_grants()]
+        return sorted(served) == list(range(self.partition_count))
+
+
+FAULTS = (
+    "cut",
+    "join",
+    "cut_store",
+    "store_down",
+    "store_up",
+    "freeze_control",
+    "thaw_control",
+    "freeze_dispatch",
+    "thaw_dispatch",
+    "kill_control",
+    "kill_dispatch",
+    "kill_both",
+    "restart",
+    "leave",
+    "change",
+)
+
+
+def inject(world: World, fault: str, first: int, second: int) -> None:
+    """Apply a fault, or its end, to one host or to a pair."""
+    host = world.hosts[first % len(world.hosts)]
+    pair = frozenset((host.number, second % len(world.hosts)))
+    match fault:
+        case "cut":
+            world.cuts.add(pair)
+        case "join":
+            world.cuts.discard(pair)
+        case "cut_store":
+            world.store_cuts ^= {host.number}
+        case "store_down" | "store_up":
+            world.store_down = fault == "store_down"
+        case "freeze_control":
+            host.frozen = host.controller is not None
+        case "thaw_control" if host.frozen:
+            host.thaw()
+        case "freeze_dispatch":
+            world.freeze_dispatch(host)
+        case "thaw_dispatch" if host.local.frozen:
+            host.local.thaw()
+        case "kill_control" if host.controller is not None:
+            host.kill()
+        case "kill_dispatch":
+            world.kill_dispatch(host)
+        case "kill_both":
+            world.kill_dispatch(host)
+            if host.controller is not None:
+                host.kill()
+        case "restart":
+            world.restart(host)
+        case "leave" if host.controller is not None:
+            host.node.own.leaving = True
+        case "change" if host.controller is not None and not host.frozen:
+            world.write_store(host, host.make_change)
