--- a/flamingostack/dispatch/main.py
+++ b/flamingostack/dispatch/main.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import contextlib
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -25,6 +26,9 @@
 
 # How soon a lease that runs out during shutdown is noticed.
 POLL_S = 0.05
+# aiohttp leaves about 6 objects in reference cycles for each request. With the default of 700
+# the collector took 11% of the processor time at 1,800 sub-requests/s.
+GC_THRESHOLD = 10_000
 # Time for the last report and the last replies to leave the process.
 FLUSH_S = 1.0
 REPORT_FLUSH_S = 0.2
@@ -154,6 +158,8 @@
     except OSError as error:
         environment.log.error("cannot_listen", reason=str(error))
         return ExitStatus.UNAVAILABLE
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
     await stop.wait()
     await dispatch.shut_down()
     return ExitStatus.SUCCESS
--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -35,7 +35,6 @@
 NS_PER_US = 1_000
 NS_PER_S = 1_000_000_000
 COLD_HEADER = "Searcher-Cold"
-SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 # A connection that closes before the body is written costs nothing at the target, so the request
 # may be sent on another one; more than this many in a row are the target's fault.
 MAX_SENDS = 3
@@ -448,7 +447,11 @@
 
     async def _send(self, work: Work) -> Outcome:
         body = make_body(work.request)
-        headers = {"Request-Id": work.target_request_id, "Snapshot": work.request.snapshot}
+        headers = {
+            "Request-Id": work.target_request_id,
+            "Snapshot": work.request.snapshot,
+            "Accept-Encoding": "identity",
+        }
         url = self._search_url
         if work.is_submit:
             url = self._submit_url
@@ -511,8 +514,6 @@
                 connector=TCPConnector(limit=0, force_close=False),
                 cookie_jar=DummyCookieJar(),
                 request_class=FencedRequest,
-                skip_auto_headers=SKIPPED_HEADERS,
-                auto_decompress=False,
             )
         return self._session
 
