Count a request whose connection was lost until its deadline

Cause: a target may go on with a request after its connection broke. Dispatch no longer counted it, so a cold target could get more than its limit, and a withdrawn partition could be reported as drained while a request still ran.

Ruled out: keeping the whole partition back for max_request_ms, which delays every transfer.

Change: such a request is answered at once but counts as in flight until its deadline. Updates that only extend the lease no longer pass through all targets.

--- a/flamingostack/dispatch/ownership.py
+++ b/flamingostack/dispatch/ownership.py
@@ -25,6 +25,7 @@
         "feed",
         "recorder",
         "is_stopping",
+        "_applied",
         "_context",
         "_targets_by_id",
         "_replaced",
@@ -40,6 +41,7 @@
         self.feed = feed
         self.recorder = recorder
         self.is_stopping = False
+        self._applied = feed.view
         self._context = TargetContext(
             environment=environment,
             feed=feed,
@@ -114,10 +116,23 @@
 
     def apply(self, view: FleetView) -> None:
         """Follow a new view: retire, update and hold targets, and note withdrawn partitions."""
+        if self._is_same(view):
+            # Most updates only extend the lease, which is read from the view itself.
+            self._applied = view
+            return
+        self._applied = view
         if not self.is_stopping:
             self._update_targets(view)
         self._note_grants(view)
 
+    def _is_same(self, view: FleetView) -> bool:
+        applied = self._applied
+        return (
+            applied.document is view.document
+            and applied.targets_by_id is view.targets_by_id
+            and applied.grants_by_partition == view.grants_by_partition
+        )
+
     def _update_targets(self, view: FleetView) -> None:
         for target in list(self._targets_by_id.values()):
             self._update_target(target, view)
--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -35,6 +35,7 @@
 NS_PER_US = 1_000
 NS_PER_S = 1_000_000_000
 COLD_HEADER = "Searcher-Cold"
+CONNECTION_LOST = "connection_lost"
 # A connection that closes before the body is written costs nothing at the target, so the request
 # may be sent on another one; more than this many in a row are the target's fault.
 MAX_SENDS = 3
@@ -407,17 +408,25 @@
         try:
             outcome = await self._send(work)
         finally:
-            work.state = WorkState.DONE
-            self.in_flight -= 1
             self.connections.release()
             self._learn(work, outcome, epoch)
             if not (work.fence and work.fence.has_begun) and outcome.status != NOT_RUN:
                 outcome = Outcome(NOT_RUN, outcome.reason)
+            if outcome.reason == CONNECTION_LOST:
+                # The target may go on with the request until its deadline.
+                remaining_s = (work.deadline_ns - self._now_ns()) / NS_PER_S
+                self._loop.call_later(remaining_s, self._finish, work, partition)
+            else:
+                self._finish(work, partition)
             self._reply(work, outcome.status, outcome.reason, outcome.body, outcome.snapshot)
-            self.context.on_finish(partition)
-            self._start_waiting()
-            if self.is_retired and not self.in_flight and self._wake and not self._wake.done():
-                self._wake.set_result(None)
+
+    def _finish(self, work: Work, partition: int) -> None:
+        work.state = WorkState.DONE
+        self.in_flight -= 1
+        self.context.on_finish(partition)
+        self._start_waiting()
+        if self.is_retired and not self.in_flight and self._wake and not self._wake.done():
+            self._wake.set_result(None)
 
     def _learn(self, work: Work, outcome: Outcome, epoch: int) -> None:
         if outcome.is_silent:
@@ -459,8 +468,8 @@
         for _ in range(MAX_SENDS):
             outcome = await self._send_once(work, url, headers, body)
             if work.fence.has_begun or outcome.reason != CONNECTION_CLOSED:
-                break
-        return outcome
+                return outcome
+        return Outcome(NOT_RUN, CONNECTION_CLOSED, is_trouble=True)
 
     async def _send_once(self, work: Work, url: URL, headers: dict, body: bytes) -> Outcome:
         fence = work.fence = Fence(body, self, work)
@@ -485,7 +494,7 @@
 
     def _explain_break(self, fence: Fence, error: Exception) -> Outcome:
         if fence.has_begun:
-            return Outcome(pb.SUB_STATUS_FAILED, "connection_lost", is_trouble=True)
+            return Outcome(pb.SUB_STATUS_FAILED, CONNECTION_LOST, is_trouble=True)
         if isinstance(error, ValueError):
             # A header with a line break; the check is aiohttp's.
             return Outcome(NOT_RUN, "invalid")
--- a/tests/dispatch/test_target.py
+++ b/tests/dispatch/test_target.py
@@ -242,6 +242,16 @@
             bench.update(grants=[(0, 2, 0, 0)])
             self.assertEqual((await bench.ask()).status, OK)
 
+    async def test_lost_request_counts_until_its_deadline(self):
+        # Guards against a drained report while the target may still run a request.
+        async with serving(cold_limit=1) as (bench, searcher):
+            searcher.mode = "close"
+            self.assertEqual((await bench.ask(deadline_ms=150)).reason, "connection_lost")
+            self.assertEqual(bench.target().in_flight, 1)
+            bench.update(grants=())
+            self.assertEqual(bench.feed.drained, [])
+            await until(lambda: bench.feed.drained and not bench.ownership.target_count)
+
     async def test_idle_partition_is_drained_at_once(self):
         async with serving() as (bench, _):
             bench.update(grants=())
