--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -41,7 +41,8 @@
 MAX_SENDS = 3
 # Read timeouts are rounded up to this, so that few distinct timeout objects are needed.
 TIMEOUT_STEP_MS = 100
-# Weight of a new sample in the mean time that the target takes.
+# Weight of a new sample in the mean time that the target takes; the first ones weigh more, since
+# the very first includes the new connection.
 SERVICE_TIME_WEIGHT = 0.1
 # The shortest service time rises by this share of the difference to each longer sample, and falls
 # by a tenth with each refusal that is based on it, so that a slow phase cannot refuse for ever.
@@ -170,6 +171,7 @@
         "_was_leaving",
         "_was_returning",
         "_mean_ns",
+        "_samples",
         "_shortest_ns",
         "_loop",
         "_now_ns",
@@ -201,6 +203,7 @@
         self._was_leaving = False
         self._was_returning = False
         self._mean_ns = 0.0
+        self._samples = 0
         self._shortest_ns = 0.0
         self._loop = asyncio.get_running_loop()
         self._now_ns = context.environment.now_ns
@@ -447,8 +450,11 @@
     def _record_service_time(self, elapsed_ns: int) -> None:
         if not self._mean_ns:
             self._mean_ns = self._shortest_ns = elapsed_ns
+            self._samples = 1
             return
-        self._mean_ns += (elapsed_ns - self._mean_ns) * SERVICE_TIME_WEIGHT
+        self._samples += 1
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self._samples)
+        self._mean_ns += (elapsed_ns - self._mean_ns) * weight
         if elapsed_ns < self._shortest_ns:
             self._shortest_ns = elapsed_ns
         else:
