--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -35,13 +35,14 @@
 NS_PER_US = 1_000
 NS_PER_S = 1_000_000_000
 COLD_HEADER = "Searcher-Cold"
-SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
+CONNECTION_LOST = "connection_lost"
 # A connection that closes before the body is written costs nothing at the target, so the request
 # may be sent on another one; more than this many in a row are the target's fault.
 MAX_SENDS = 3
 # Read timeouts are rounded up to this, so that few distinct timeout objects are needed.
 TIMEOUT_STEP_MS = 100
-# Weight of a new sample in the mean time that the target takes.
+# Weight of a new sample in the mean time that the target takes; the first ones weigh more, since
+# the very first includes the new connection.
 SERVICE_TIME_WEIGHT = 0.1
 # The shortest service time rises by this share of the difference to each longer sample, and falls
 # by a tenth with each refusal that is based on it, so that a slow phase cannot refuse for ever.
@@ -170,6 +171,7 @@
         "_was_leaving",
         "_was_returning",
         "_mean_ns",
+        "_samples",
         "_shortest_ns",
         "_loop",
         "_now_ns",
@@ -201,6 +203,7 @@
         self._was_leaving = False
         self._was_returning = False
         self._mean_ns = 0.0
+        self._samples = 0
         self._shortest_ns = 0.0
         self._loop = asyncio.get_running_loop()
         self._now_ns = context.environment.now_ns
@@ -408,17 +411,25 @@
         try:
             outcome = await self._send(work)
         finally:
-            work.state = WorkState.DONE
-            self.in_flight -= 1
             self.connections.release()
             self._learn(work, outcome, epoch)
             if not (work.fence and work.fence.has_begun) and outcome.status != NOT_RUN:
                 outcome = Outcome(NOT_RUN, outcome.reason)
+            if outcome.reason == CONNECTION_LOST:
+                # The target may go on with the request until its deadline.
+                remaining_s = (work.deadline_ns - self._now_ns()) / NS_PER_S
+                self._loop.call_later(remaining_s, self._finish, work, partition)
+            else:
+                self._finish(work, partition)
             self._reply(work, outcome.status, outcome.reason, outcome.body, outcome.snapshot)
-            self.context.on_finish(partition)
-            self._start_waiting()
-            if self.is_retired and not self.in_flight and self._wake and not self._wake.done():
-                self._wake.set_result(None)
+
+    def _finish(self, work: Work, partition: int) -> None:
+        work.state = WorkState.DONE
+        self.in_flight -= 1
+        self.context.on_finish(partition)
+        self._start_waiting()
+        if self.is_retired and not self.in_flight and self._wake and not self._wake.done():
+            self._wake.set_result(None)
 
     def _learn(self, work: Work, outcome: Outcome, epoch: int) -> None:
         if outcome.is_silent:
@@ -439,8 +450,11 @@
     def _record_service_time(self, elapsed_ns: int) -> None:
         if not self._mean_ns:
             self._mean_ns = self._shortest_ns = elapsed_ns
+            self._samples = 1
             return
-        self._mean_ns += (elapsed_ns - self._mean_ns) * SERVICE_TIME_WEIGHT
+        self._samples += 1
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self._samples)
+        self._mean_ns += (elapsed_ns - self._mean_ns) * weight
         if elapsed_ns < self._shortest_ns:
             self._shortest_ns = elapsed_ns
         else:
@@ -448,7 +462,11 @@
 
     async def _send(self, work: Work) -> Outcome:
         body = make_body(work.request)
-        headers = {"Request-Id": work.target_request_id, "Snapshot": work.request.snapshot}
+        headers = {
+            "Request-Id": work.target_request_id,
+            "Snapshot": work.request.snapshot,
+            "Accept-Encoding": "identity",
+        }
         url = self._search_url
         if work.is_submit:
             url = self._submit_url
@@ -456,8 +474,8 @@
         for _ in range(MAX_SENDS):
             outcome = await self._send_once(work, url, headers, body)
             if work.fence.has_begun or outcome.reason != CONNECTION_CLOSED:
-                break
-        return outcome
+                return outcome
+        return Outcome(NOT_RUN, CONNECTION_CLOSED, is_trouble=True)
 
     async def _send_once(self, work: Work, url: URL, headers: dict, body: bytes) -> Outcome:
         fence = work.fence = Fence(body, self, work)
@@ -482,7 +500,7 @@
 
     def _explain_break(self, fence: Fence, error: Exception) -> Outcome:
         if fence.has_begun:
-            return Outcome(pb.SUB_STATUS_FAILED, "connection_lost", is_trouble=True)
+            return Outcome(pb.SUB_STATUS_FAILED, CONNECTION_LOST, is_trouble=True)
         if isinstance(error, ValueError):
             # A header with a line break; the check is aiohttp's.
             return Outcome(NOT_RUN, "invalid")
@@ -511,8 +529,6 @@
                 connector=TCPConnector(limit=0, force_close=False),
                 cookie_jar=DummyCookieJar(),
                 request_class=FencedRequest,
-                skip_auto_headers=SKIPPED_HEADERS,
-                auto_decompress=False,
             )
         return self._session
 
