--- a/flamingostack/entry/fanout.py
+++ b/flamingostack/entry/fanout.py
@@ -174,7 +174,7 @@
         self.is_baseline = environment.settings.entry.baseline
         own_address = environment.settings.dispatch.listen if self.is_baseline else ""
         self.links = Links(environment)
-        self.replicas = Replicas(own_address)
+        self.replicas = Replicas(self.links.unusable_addresses, own_address)
         self.maps = Maps()
         self.counts = FanoutCounts()
         self.loop = asyncio.get_running_loop()
@@ -236,6 +236,7 @@
         "restarts",
         "budget",
         "window",
+        "_request",
         "_answer_at",
         "_hedge_after",
         "_hedge_at",
@@ -265,6 +266,7 @@
         self.restarts = 0
         self.budget = fanout.budget_of(plan.request_class)
         self.window = fanout.window_of(pinned.service)
+        self._request: pb.SubRequest | None = None
         self._answer_at = plan.deadline - answer_margin(plan.deadline - trace.started)
         self._hedge_after = 0.0
         self._hedge_at = float("inf")
@@ -278,6 +280,14 @@
         """Send one sub-request for each part of the pinned snapshot."""
         now = self.fanout.loop.time()
         pinned = self.pinned
+        # Filled in and copied for each sub-request, which is cheaper than a new message.
+        self._request = pb.SubRequest(
+            request_id=self.plan.request_id,
+            service=pinned.service,
+            snapshot=pinned.snapshot,
+            request_class=self.plan.request_class,
+            payload=self.plan.payload,
+        )
         self.parts = [Part(*item) for item in pinned.split(self.low, self.high)]
         self.open_parts = len(self.parts)
         self.lost_keys = self.high - self.low
@@ -321,20 +331,13 @@
         attempt.trace_index = self.trace.add_attempt(
             route.target_id, route.instance, part.low, part.high, why, now
         )
-        self.fanout.links.get(route.address).send(
-            attempt,
-            now,
-            request_id=plan.request_id,
-            service=self.pinned.service,
-            target=route.target_id,
-            snapshot=self.pinned.snapshot,
-            low=part.low,
-            high=part.high,
-            deadline_ms=max(int((plan.deadline - now) * MS_PER_S), 1),
-            request_class=plan.request_class,
-            payload=plan.payload,
-            hedge=why is explain.HEDGE,
-        )
+        request = self._request
+        request.target = route.target_id
+        request.low = part.low
+        request.high = part.high
+        request.deadline_ms = max(int((plan.deadline - now) * MS_PER_S), 1)
+        request.hedge = why is explain.HEDGE
+        self.fanout.links.get(route.address).send(attempt, request, now)
 
     # ---- Replies ---------------------------------------------------------
 
--- a/flamingostack/entry/link.py
+++ b/flamingostack/entry/link.py
@@ -24,7 +24,12 @@
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
 MS_PER_S = 1000
-WATCHES_PER_SILENCE = 5
+# Progress is checked this often for all links together.
+WATCH_S = 0.05
+# With sub-requests in flight, a link that is quiet for this long gets a probe, and one whose probe
+# is not answered for this long is avoided. It is given up only after `silent_after_ms`.
+PROBE_AFTER_S = 0.05
+SUSPECT_AFTER_S = 0.15
 
 NO_CONNECTION = "no_connection"
 LINK_LOST = "link_lost"
@@ -83,6 +88,8 @@
         "_batch",
         "_ready",
         "_may_send",
+        "_is_connected",
+        "_silent",
         "_heard_at",
         "_busy_since",
         "_probe",
@@ -105,12 +112,14 @@
         self._ready = asyncio.Event()
         # Until the first connection attempt has failed, sub-requests wait for it.
         self._may_send = True
+        self._is_connected = False
+        self._silent = asyncio.Event()
         self._heard_at = 0.0
         self._busy_since = 0.0
         self._probe: Attempt | None = None
 
-    def send(self, attempt: Attempt, now: float, **fields: object) -> None:
-        """Add a sub-request to the next batch; `fields` are those of `SubRequest` but the id."""
+    def send(self, attempt: Attempt, request: pb.SubRequest, now: float) -> None:
+        """Add a copy of `request`, with an id of its own, to the next batch."""
         attempt.link = self
         attempt.sent_at = now
         attempt.id = next(self._ids)
@@ -120,7 +129,8 @@
         if not self._may_send:
             self._loop.call_soon(self._refuse, attempt)
             return
-        self._batch.requests.add(id=attempt.id, **fields)
+        request.id = attempt.id
+        self._batch.requests.append(request)
         self._ready.set()
 
     def cancel(self, attempt: Attempt) -> None:
@@ -129,6 +139,30 @@
             self._batch.cancels.append(attempt.id)
             self._ready.set()
 
+    def check_progress(self, now: float, is_stalled: bool) -> bool:
+        """Tell whether the link may be used; called regularly.
+
+        It may not while it is down, or if sub-requests wait and nothing arrives, not even the
+        answer to a probe. Slow targets alone keep a stream quiet too, but a probe is a sub-request
+        for no target, which dispatch refuses at once. `is_stalled` tells that this process did not
+        run for a while, so that replies may wait to be read.
+        """
+        if is_stalled:
+            self._heard_at = now
+        if not self._is_connected or not self.attempts_by_id:
+            return self._may_send
+        quiet_s = now - max(self._heard_at, self._busy_since)
+        if quiet_s < PROBE_AFTER_S:
+            return True
+        silent_after_ms = self.environment.settings.dispatch.silent_after_ms
+        if quiet_s * MS_PER_S > silent_after_ms:
+            self._silent.set()
+            return False
+        if self._probe is None or self._probe.id not in self.attempts_by_id:
+            self._probe = Attempt(ProbeReceiver(), route=None)
+            self.send(self._probe, pb.SubRequest(deadline_ms=silent_after_ms), now)
+        return now - self._probe.sent_at < SUSPECT_AFTER_S
+
     async def run(self) -> None:
         """Keep the stream connected until cancelled."""
         delay = RECONNECT_MIN_S
@@ -153,6 +187,9 @@
                 async with asyncio.timeout(timeout_ms / MS_PER_S):
                     await stream.send_request()
                 self._may_send = True
+                self._is_connected = True
+                self._silent.clear()
+                self._probe = None
                 self._heard_at = self._loop.time()
                 return await self._exchange(stream, channel)
         except (TimeoutError, OSError, GRPCError, StreamTerminatedError) as error:
@@ -164,7 +201,7 @@
         tasks = [
             asyncio.create_task(self._read(stream)),
             asyncio.create_task(self._write(stream)),
-            asyncio.create_task(self._watch()),
+            asyncio.create_task(self._silent.wait()),
         ]
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -196,34 +233,6 @@
             batch, self._batch = self._batch, self._make_batch()
             await stream.send_message(batch)
 
-    async def _watch(self) -> None:
-        """Return when sub-requests wait and nothing arrives, not even the answer to a probe.
-
-        Slow targets alone keep a stream quiet, too. So after half of the time a probe is sent, a
-        sub-request for no target, which dispatch refuses at once.
-        """
-        silent_after_s = self.environment.settings.dispatch.silent_after_ms / MS_PER_S
-        pause_s = silent_after_s / WATCHES_PER_SILENCE
-        watched_at = self._loop.time()
-        while True:
-            await asyncio.sleep(pause_s)
-            now = self._loop.time()
-            if now - watched_at > 2 * pause_s:
-                # This process did not run for a while; replies may wait to be read.
-                self._heard_at = now
-            watched_at = now
-            quiet_s = now - max(self._heard_at, self._busy_since)
-            if not self.attempts_by_id or quiet_s < silent_after_s / 2:
-                self._probe = None
-            elif quiet_s > silent_after_s:
-                return
-            elif self._probe is None:
-                self._send_probe(now, silent_after_s)
-
-    def _send_probe(self, now: float, silent_after_s: float) -> None:
-        self._probe = Attempt(ProbeReceiver(), route=None)
-        self.send(self._probe, now, deadline_ms=int(silent_after_s * MS_PER_S))
-
     def _break(self, reason: str) -> None:
         """Fail everything in flight; what was not handed to the stream did not run."""
         if self._may_send:
@@ -236,6 +245,7 @@
             )
         was_down = not self._may_send
         self._may_send = False
+        self._is_connected = False
         unsent = {request.id for request in self._batch.requests}
         self._batch = self._make_batch()
         self._ready.clear()
@@ -268,13 +278,23 @@
 class Links:
     """All links of this process, by the advertised address of the dispatch process."""
 
-    __slots__ = ("environment", "links_by_address", "_tasks_by_address", "_ids")
+    __slots__ = (
+        "environment",
+        "links_by_address",
+        "unusable_addresses",
+        "_tasks_by_address",
+        "_ids",
+        "_watcher",
+    )
 
     def __init__(self, environment: Environment) -> None:
         self.environment = environment
         self.links_by_address: dict[str, Link] = {}
+        # Links that are down or seem silent; replicas behind other links come first.
+        self.unusable_addresses: set[str] = set()
         self._tasks_by_address: dict[str, asyncio.Task] = {}
         self._ids = itertools.count(1)
+        self._watcher = asyncio.create_task(self._watch())
 
     def get(self, address: str) -> Link:
         """Return the link to an address; it starts to connect at the first call."""
@@ -297,16 +317,31 @@
             if address not in known and not link.attempts_by_id:
                 self._tasks_by_address.pop(address).cancel()
                 del self.links_by_address[address]
+                self.unusable_addresses.discard(address)
 
     async def close(self) -> None:
         """Close all links."""
-        tasks = list(self._tasks_by_address.values())
+        tasks = [self._watcher, *self._tasks_by_address.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.links_by_address.clear()
         self._tasks_by_address.clear()
 
+    async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        watched_at = loop.time()
+        while True:
+            await asyncio.sleep(WATCH_S)
+            now = loop.time()
+            is_stalled = now - watched_at > 2 * WATCH_S
+            watched_at = now
+            for address, link in self.links_by_address.items():
+                if link.check_progress(now, is_stalled):
+                    self.unusable_addresses.discard(address)
+                else:
+                    self.unusable_addresses.add(address)
+
     @staticmethod
     def _owner_addresses(view: FleetView) -> Iterable[str]:
         for partition in view.partitions_by_number.values():
--- a/flamingostack/entry/main.py
+++ b/flamingostack/entry/main.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import gc
 import signal
 import sys
 from collections.abc import Sequence
@@ -22,6 +23,14 @@
 PROCESS = "entry-0"
 # Time for the last report to reach control before the connection closes.
 LAST_REPORT_S = 0.2
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)
+
+
+def tune_collector() -> None:
+    """Collect garbage less often: a query makes hundreds of objects, nearly all without cycles."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
 
 
 def run(arguments: Sequence[str] | None = None) -> ExitStatus:
@@ -34,6 +43,7 @@
         print(settings.message, file=sys.stderr)
         return ExitStatus.INVALID_INPUT
     environment = make_environment(settings, PROCESS)
+    tune_collector()
     return uvloop.run(serve(environment))
 
 
--- a/flamingostack/entry/replicas.py
+++ b/flamingostack/entry/replicas.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence, Set
 
 from ..generated import messages_pb2 as pb
 from ..state import FleetView
@@ -32,6 +32,8 @@
         "reported_at",
         "limit",
         "avoid_until",
+        "cold_limit",
+        "is_cold",
     )
 
     def __init__(self, target_id: str) -> None:
@@ -43,6 +45,9 @@
         self.reported_at = 0.0
         self.limit = -1
         self.avoid_until = 0.0
+        # The limit in cold start, or -1 if it does not differ from a warm target's.
+        self.cold_limit = -1
+        self.is_cold = False
 
     def record_latency(self, seconds: float, now: float) -> None:
         """Add one measured latency."""
@@ -59,6 +64,7 @@
         self.reported_work = max(reply.queue_length + reply.in_flight - self.outstanding, 0)
         self.reported_at = now
         self.limit = reply.limit
+        self.is_cold = self.limit <= self.cold_limit
 
     def expected_latency(self, now: float) -> float:
         """Return the latency to expect of one more sub-request.
@@ -75,7 +81,7 @@
 class Route:
     """How to reach a target under the present view."""
 
-    __slots__ = ("target_id", "state", "address", "instance", "is_foreign", "cold_limit", "slots")
+    __slots__ = ("target_id", "state", "address", "instance", "is_foreign")
 
     def __init__(
         self,
@@ -90,32 +96,44 @@
         self.address = address
         self.instance = instance
         self.is_foreign = is_foreign
-        self.cold_limit = target.cold_limit
-        self.slots = target.slots
-
-    @property
-    def is_cold(self) -> bool:
-        """Tell whether the owner reported the limit of a target in cold start."""
-        return 0 <= self.state.limit <= self.cold_limit < self.slots
 
 
 class Replicas:
     """Chooses replicas; holds what was seen of each target and the routes of the present view."""
 
-    __slots__ = ("own_address", "_view", "_states_by_id", "_routes_by_id", "_random")
+    __slots__ = (
+        "own_address",
+        "_unusable_addresses",
+        "_view",
+        "_states_by_id",
+        "_routes_by_id",
+        "_routes_by_replicas",
+        "_random",
+    )
+
+    def __init__(
+        self,
+        unusable_addresses: Set[str],
+        own_address: str = "",
+        seed: int | None = None,
+    ) -> None:
+        """Route everything to `own_address` if it is not empty (baseline mode).
 
-    def __init__(self, own_address: str = "", seed: int | None = None) -> None:
-        """Route everything to `own_address` if it is not empty (baseline mode)."""
+        `unusable_addresses` is kept by the links and changes as they do.
+        """
         self.own_address = own_address
+        self._unusable_addresses = unusable_addresses
         self._view = FleetView()
         self._states_by_id: dict[str, TargetState] = {}
         self._routes_by_id: dict[str, Route | None] = {}
+        self._routes_by_replicas: dict[tuple[str, ...], list[Route]] = {}
         self._random = random.Random(seed)
 
     def apply(self, view: FleetView) -> None:
         """Use a new view: routes, marks and owners may have changed."""
         self._view = view
         self._routes_by_id.clear()
+        self._routes_by_replicas.clear()
         if len(self._states_by_id) > 2 * len(view.targets_by_id):
             self._states_by_id = {
                 key: state
@@ -133,39 +151,54 @@
 
     def choose(
         self,
-        target_ids: Sequence[str],
-        excluded: Iterable[str],
+        target_ids: tuple[str, ...],
+        excluded: Sequence[str],
         now: float,
         foreign_penalty_s: float,
     ) -> Route | None:
         """Return the better of two random replicas, cold and failing ones last."""
-        routes = [
-            route
-            for target_id in target_ids
-            if target_id not in excluded and (route := self.route_of(target_id)) is not None
-        ]
+        routes = self._routes_of(target_ids)
+        if excluded:
+            routes = [route for route in routes if route.target_id not in excluded]
         if len(routes) < 2:
             return routes[0] if routes else None
-        preferred = [
-            route for route in routes if route.state.avoid_until <= now and not route.is_cold
-        ]
-        if len(preferred) < len(routes):
+        first, second = self._pick_two(routes)
+        if not (self._is_preferred(first, now) and self._is_preferred(second, now)):
             trial = self._choose_cold_trial(routes, now)
             if trial is not None:
                 return trial
-        candidates = preferred or routes
-        if len(candidates) == 1:
-            return candidates[0]
-        first, second = self._pick_two(candidates)
+            routes = (
+                [route for route in routes if self._is_preferred(route, now)]
+                or [route for route in routes if route.address not in self._unusable_addresses]
+                or routes
+            )
+            if len(routes) == 1:
+                return routes[0]
+            first, second = self._pick_two(routes)
         first_s = first.state.expected_latency(now) + foreign_penalty_s * first.is_foreign
         second_s = second.state.expected_latency(now) + foreign_penalty_s * second.is_foreign
         return first if first_s <= second_s else second
 
-    def choose_random(self, target_ids: Sequence[str]) -> Route | None:
+    def choose_random(self, target_ids: tuple[str, ...]) -> Route | None:
         """Return any replica that may be used (baseline mode)."""
-        routes = [route for item in target_ids if (route := self.route_of(item)) is not None]
+        routes = self._routes_of(target_ids)
         return self._random.choice(routes) if routes else None
 
+    def _routes_of(self, target_ids: tuple[str, ...]) -> list[Route]:
+        routes = self._routes_by_replicas.get(target_ids)
+        if routes is None:
+            routes = [route for item in target_ids if (route := self.route_of(item)) is not None]
+            self._routes_by_replicas[target_ids] = routes
+        return routes
+
+    def _is_preferred(self, route: Route, now: float) -> bool:
+        state = route.state
+        return (
+            state.avoid_until <= now
+            and not state.is_cold
+            and route.address not in self._unusable_addresses
+        )
+
     def _pick_two(self, candidates: list[Route]) -> tuple[Route, Route]:
         count = len(candidates)
         first = int(self._random.random() * count)
@@ -179,7 +212,7 @@
             return None
         for route in routes:
             state = route.state
-            if route.is_cold and not state.outstanding and state.avoid_until <= now:
+            if state.is_cold and not state.outstanding and state.avoid_until <= now:
                 return route
         return None
 
@@ -193,12 +226,14 @@
         state = self._states_by_id.get(target_id)
         if state is None:
             state = self._states_by_id[target_id] = TargetState(target_id)
+        target = info.target
+        state.cold_limit = target.cold_limit if target.cold_limit < target.slots else -1
         return Route(
-            target=info.target,
+            target=target,
             state=state,
             address=address,
             instance=instance,
-            is_foreign=info.target.failure_domain != self._view.self_member.failure_domain,
+            is_foreign=target.failure_domain != self._view.self_member.failure_domain,
         )
 
     def _find_owner(self, target_id: str, partition: int) -> tuple[str, str]:
--- a/flamingostack/entry/server.py
+++ b/flamingostack/entry/server.py
@@ -86,8 +86,9 @@
         self.feed.report_shutdown(finished=False)
         await asyncio.sleep(self.environment.settings.entry.drain_notice_ms / MS_PER_S)
         self.shutdown.phase = Phase.FINISHING
-        if self._site is not None:
-            await self._site.stop()
+        site, self._site = self._site, None
+        if site is not None:
+            await site.stop()
         await self.shutdown.idle()
         unsettled = await self.once.settle()
         if unsettled:
--- a/flamingostack/entry/single.py
+++ b/flamingostack/entry/single.py
@@ -132,9 +132,7 @@
             route.target_id, route.instance, self.low, self.high, explain.SUBMIT, now
         )
         link = self.fanout.links.get(route.address)
-        link.send(
-            attempt,
-            now,
+        request = pb.SubRequest(
             request_id=self.plan.request_id,
             service=self.pinned.service,
             target=route.target_id,
@@ -146,6 +144,7 @@
             payload=self.plan.payload,
             once_key=self.once_key,
         )
+        link.send(attempt, request, now)
         try:
             async with asyncio.timeout_at(self.plan.deadline + LATE_ANSWER_S):
                 return await self._reply
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import json
 import socket
@@ -182,6 +183,10 @@
         await self._server.start(host, int(port))
 
     async def stop(self) -> None:
+        for stream in self.streams:
+            with contextlib.suppress(Exception):
+                await stream.cancel()
+        self.streams.clear()
         self._server.close()
         await self._server.wait_closed()
 
--- /dev/null
+++ b/tests/entry/test_parts.py
@@ -0,0 +1,93 @@
+"""Tests of planning, coverage, budgets and latency windows on their own."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flamingostack.entry.budget import EXTRA_SENDS_CAP, ExtraBudget, RateLimit
+from flamingostack.entry.coverage import coverage_share, missing_intervals
+from flamingostack.entry.latency import MIN_SAMPLES, WINDOW_S, LatencyWindow
+from flamingostack.entry.plan import PinnedMap
+from flamingostack.generated import messages_pb2 as pb
+
+KEYSPACE = 40
+POSITIONS = st.integers(0, KEYSPACE)
+RANGES = st.lists(st.tuples(POSITIONS, st.integers(0, KEYSPACE + 5)), max_size=8)
+
+
+def keys_of(intervals) -> list[int]:
+    return [key for low, high in intervals for key in range(low, high)]
+
+
+class CoverageTest(unittest.TestCase):
+    """Guards against a coverage that differs from the keys that were answered."""
+
+    @given(st.tuples(POSITIONS, POSITIONS).filter(lambda item: item[0] < item[1]), RANGES)
+    def test_missing_is_what_no_part_covers(self, interval, answered):
+        low, high = interval
+        missing = missing_intervals(low, high, [item for item in answered if item[0] < item[1]])
+        expected = set(range(low, high)) - set(keys_of(answered))
+        self.assertEqual(keys_of(missing), sorted(expected))
+        share = coverage_share(low, high, missing)
+        self.assertAlmostEqual(share, 1 - len(expected) / (high - low))
+        self.assertEqual(share == 1, not expected)
+
+    @given(RANGES, st.tuples(POSITIONS, POSITIONS).filter(lambda item: item[0] < item[1]))
+    def test_plan_asks_for_each_mapped_key_once(self, ranges, interval):
+        snapshot = pb.Snapshot(id="s1")
+        for low, high in ranges:
+            snapshot.ranges.add(low=low, high=high, targets=["t"])
+        pinned = PinnedMap(pb.ServiceIndex(service="x", keyspace=KEYSPACE), snapshot)
+        low, high = interval
+        asked = keys_of([(start, end) for start, end, _ in pinned.split(low, high)])
+        self.assertEqual(asked, sorted(set(keys_of(ranges)) & set(range(low, high))))
+
+
+class BudgetTest(unittest.TestCase):
+    """Guards against a retry storm, and a burst saved up in quiet times."""
+
+    @given(st.lists(st.one_of(st.integers(1, 60), st.none()), max_size=200), st.floats(0, 100))
+    def test_extra_sends_never_exceed_their_share(self, events, percent):
+        budget = ExtraBudget()
+        primaries = taken = 0
+        for event in events:
+            if event is None:
+                taken += budget.take()
+            else:
+                primaries += event
+                budget.earn(event, percent)
+            self.assertLessEqual(taken, primaries * percent / 100 + 1e-6)
+
+    def test_quiet_time_saves_up_no_burst(self):
+        budget = ExtraBudget()
+        for _ in range(1000):
+            budget.earn(55, 5)
+        taken = sum(budget.take() for _ in range(1000))
+        self.assertEqual(taken, EXTRA_SENDS_CAP)
+
+    def test_rate_has_a_burst_of_one_second(self):
+        now = [0.0]
+        rate = RateLimit(10, lambda: now[0])
+        now[0] = 100
+        self.assertEqual(sum(rate.take(2) for _ in range(100)), 5)
+        now[0] += 1
+        self.assertEqual(sum(rate.take(2) for _ in range(100)), 5)
+
+
+class LatencyWindowTest(unittest.TestCase):
+    """Guards against hedges that are timed by noise or by latencies of long ago."""
+
+    def test_quantile_follows_the_window(self):
+        window = LatencyWindow(0)
+        self.assertIsNone(window.quantile(97, 0))
+        for number in range(MIN_SAMPLES):
+            window.record(0.1 if number >= 95 else 0.01)
+        self.assertAlmostEqual(window.quantile(90, 1), 0.01, delta=0.001)
+        self.assertAlmostEqual(window.quantile(97, 1), 0.1, delta=0.002)
+        for start in (WINDOW_S, 2 * WINDOW_S):
+            window.quantile(97, start)
+            for _ in range(MIN_SAMPLES):
+                window.record(0.02)
+        self.assertAlmostEqual(window.quantile(97, 3 * WINDOW_S - 0.1), 0.02, delta=0.002)
+        self.assertIsNone(window.quantile(97, 10 * WINDOW_S))
--- /dev/null
+++ b/tests/entry/test_server.py
@@ -0,0 +1,230 @@
+"""Tests of the callers' API: refusals, readiness, traces, metrics and shutdown."""
+
+import asyncio
+import json
+import unittest
+
+from flamingostack.entry.refusals import EntryReason
+from flamingostack.generated import messages_pb2 as pb
+from tests.entry.fakes import Bed, answer, make_index, make_update, refuse
+
+TABLE = {
+    "malformed": (400, "not_run"),
+    "unknown_class": (404, "not_run"),
+    "unknown_range": (404, "not_run"),
+    "too_large": (413, "not_run"),
+    "deadline_expired": (504, "not_run"),
+    "not_current": (503, "not_run"),
+    "shutting_down": (503, "not_run"),
+    "overloaded": (503, "not_run"),
+    "store_unavailable": (503, "not_run"),
+    "coverage_too_low": (504, "ran"),
+    "outcome_unknown": (409, "unknown"),
+    "key_conflict": (422, "not_run"),
+}
+QUERY = {"class": "search", "tenant": "t", "query": 1}
+SUBMIT = {"class": "booking", "tenant": "t", "key": 5, "body": 1}
+WRONG_QUERIES = [
+    b"",
+    b"{",
+    b"[]",
+    b"\xff\xfe",
+    b"[" * 100_000,
+    QUERY | {"tenant": 5},
+    QUERY | {"tenant": ""},
+    QUERY | {"tenant": "x" * 65},
+    QUERY | {"extra": 1},
+    QUERY | {"low": "1"},
+    QUERY | {"low": 1.5},
+    QUERY | {"low": True},
+    QUERY | {"deadline_ms": "5"},
+    QUERY | {"min_coverage": 1.1},
+    {"class": "search", "tenant": "t"},
+]
+WRONG_SUBMITS = [SUBMIT | {"key": "5"}, SUBMIT | {"low": 1}, {"class": "booking", "tenant": "t"}]
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bad input that is run or crashes, and refusals with a wrong `ran`."""
+
+    def assert_refused(self, result: tuple[int, dict], code: str) -> None:
+        status, body = result
+        self.assertEqual((body["code"], status, body["ran"]), (code, *TABLE[code]))
+        self.assertEqual(set(body), {"code", "message", "ran", "request_id"})
+        self.assertTrue(body["message"] and body["request_id"])
+
+    async def post(self, bed: Bed, path: str, body, **headers) -> tuple[int, dict]:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        async with bed.session.post(bed.url + path, data=data, headers=headers) as response:
+            return response.status, await response.json()
+
+    def test_reasons_are_those_of_the_table(self):
+        for code, (status, ran) in TABLE.items():
+            reason = EntryReason(code)
+            self.assertEqual((reason.status, reason.ran), (status, ran))
+
+    async def test_malformed_input_is_refused_and_nothing_is_sent(self):
+        async with Bed(max_body_bytes=200_000) as bed:
+            for body in WRONG_QUERIES:
+                self.assert_refused(await self.post(bed, "/v1/query", body), "malformed")
+            for body in WRONG_SUBMITS:
+                result = await self.post(bed, "/v1/submit", body, **{"Idempotency-Key": "k"})
+                self.assert_refused(result, "malformed")
+            self.assert_refused(await self.post(bed, "/v1/submit", SUBMIT), "malformed")
+            long_key = {"Idempotency-Key": "k" * 300}
+            result = await self.post(bed, "/v1/submit", SUBMIT, **long_key)
+            self.assert_refused(result, "malformed")
+            for path, status in (("/v1/other", 404), ("/ready", 405)):
+                result = await self.post(bed, path, QUERY)
+                self.assertEqual((result[0], result[1]["code"]), (status, "malformed"))
+            self.assertEqual((bed.requests, bed.store.calls), ([], []))
+
+    async def test_oversized_body_is_refused(self):
+        async with Bed(max_body_bytes=1000) as bed:
+            body = QUERY | {"query": "x" * 1000}
+            self.assert_refused(await self.post(bed, "/v1/query", body), "too_large")
+            chunks = [json.dumps(body).encode()]
+
+            async def stream():
+                for chunk in chunks:
+                    yield chunk
+
+            async with bed.session.post(bed.url + "/v1/query", data=stream()) as response:
+                self.assert_refused((response.status, await response.json()), "too_large")
+
+    async def test_unknown_class_range_and_deadline_are_refused(self):
+        async with Bed() as bed:
+            self.assert_refused(await bed.query(**{"class": "other"}), "unknown_class")
+            for low, high in ((0, 1001), (-1, 5), (5, 5), (9, 3), (0, 2**70)):
+                self.assert_refused(await bed.query(low=low, high=high), "unknown_range")
+            for key in (-1, 1000):
+                self.assert_refused(await bed.submit(key=key), "unknown_range")
+            for deadline in (0, -5, 0.0001):
+                self.assert_refused(await bed.query(deadline_ms=deadline), "deadline_expired")
+                self.assert_refused(await bed.submit(deadline_ms=deadline), "deadline_expired")
+            self.assertEqual((bed.requests, bed.store.calls), ([], []))
+
+    async def test_range_that_the_map_lacks_is_refused(self):
+        async with Bed() as bed:
+            index = make_index(revision=2)
+            del index.snapshots[0].ranges[3]
+            bed.apply(index=index)
+            self.assert_refused(await bed.query(low=310, high=390), "unknown_range")
+            _, result = await bed.query()
+            self.assertEqual((result["coverage"], result["missing"]), (0.9, [[300, 400]]))
+
+    async def test_process_that_may_not_serve_refuses(self):
+        async with Bed(max_in_flight=1) as bed:
+            bed.apply(lease_until_ns=0)
+            self.assert_refused(await bed.query(), "not_current")
+            self.assert_refused(await bed.submit(), "not_current")
+            bed.apply()
+            bed.behave(lambda item: (0.1, answer(item)))
+            results = await asyncio.gather(bed.query(), bed.query())
+            self.assertEqual(sorted(status for status, _ in results), [200, 503])
+            self.assert_refused(max(results, key=lambda item: item[0]), "overloaded")
+
+    async def test_low_coverage_is_an_error_and_comes_early(self):
+        async with Bed() as bed:
+            bed.behave(
+                lambda item: (
+                    (0, refuse(item, pb.SUB_STATUS_FAILED))
+                    if item.low == 0
+                    else (0.3, answer(item))
+                )
+            )
+            started = asyncio.get_running_loop().time()
+            self.assert_refused(await bed.query(**{"class": "strict"}), "coverage_too_low")
+            self.assertLess(asyncio.get_running_loop().time() - started, 0.2)
+            status, _ = await bed.query(**{"class": "strict"}, min_coverage=0.5)
+            self.assertEqual(status, 200)
+
+
+class OperationTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against traffic for a process that cannot serve, and requests cut by a shutdown."""
+
+    async def test_ready_tells_why_not(self):
+        async with Bed() as bed:
+            self.assertEqual((await bed.get("/ready"))[0], 200)
+            leaving = [pb.Mark(failure_domain="a", state=pb.MARK_STATE_LEAVING)]
+            cases = {
+                "not_current": {"lease_until_ns": 0},
+                "leaving": {"marks": leaving, "version": 2},
+            }
+            for reason, fields in cases.items():
+                bed.apply(**fields)
+                status, body = await bed.get("/ready")
+                self.assertEqual((status, body["reasons"]), (503, [reason]))
+            bed.apply(version=3, leaving=True)
+            self.assertEqual((await bed.get("/ready"))[1]["reasons"], ["leaving"])
+            self.assertEqual((await bed.get("/live"))[0], 200)
+
+    async def test_process_without_preset_is_not_ready(self):
+        async with Bed() as bed:
+            bed.feed.view = type(bed.feed.view)()
+            bed.feed.apply(make_update([bed.dispatches[0].address], preset=""))
+            self.assertEqual((await bed.get("/ready"))[1]["reasons"], ["no_preset"])
+            self.assertEqual((await bed.query())[1]["code"], "not_current")
+
+    async def test_shutdown_finishes_running_requests(self):
+        async with Bed(drain_notice_ms=100) as bed:
+            bed.behave(lambda item: (0.2, answer(item)))
+            running = [asyncio.create_task(bed.query(deadline_ms=1000)) for _ in range(5)]
+            running.append(asyncio.create_task(bed.submit(deadline_ms=1000)))
+            await asyncio.sleep(0.05)
+            stopping = asyncio.create_task(bed.server.stop())
+            await asyncio.sleep(0.02)
+            self.assertEqual((await bed.get("/ready"))[1]["reasons"], ["shutting_down"])
+            # Work that still arrives during the notice is served.
+            running.append(asyncio.create_task(bed.query(deadline_ms=1000)))
+            results = await asyncio.gather(*running)
+            self.assertEqual([status for status, _ in results], [200] * 7)
+            await stopping
+            with self.assertRaises(OSError):
+                await bed.query()
+            self.assertTrue(bed.feed.shutting_down)
+
+    async def test_new_work_on_an_open_connection_is_refused_at_the_end(self):
+        async with Bed() as bed:
+            phase = bed.server.shutdown.phase
+            bed.server.shutdown.phase = type(phase).FINISHING
+            for result in (await bed.query(), await bed.submit()):
+                self.assertEqual((result[0], result[1]["code"]), (503, "shutting_down"))
+                self.assertEqual(result[1]["ran"], "not_run")
+
+    async def test_explain_shows_targets_and_reasons_and_is_bounded(self):
+        async with Bed(explain_entries=2) as bed:
+            refused: list[str] = []
+
+            def behave(item):
+                if item.low == 0 and not refused:
+                    refused.append(item.target)
+                    return 0, refuse(item, pb.SUB_STATUS_NOT_RUN, "not_owner")
+                return 0, answer(item)
+
+            bed.behave(behave)
+            _, first = await bed.query()
+            _, trace = await bed.get(f"/v1/explain/{first['request_id']}")
+            attempts = [item for item in trace["attempts"] if item["low"] == 0]
+            self.assertEqual(
+                [(item["why"], item["status"], item["reason"]) for item in attempts],
+                [("primary", "not_run", "not_owner"), ("not_run_elsewhere", "ok", "")],
+            )
+            self.assertEqual(attempts[0]["target"], refused[0])
+            self.assertTrue(attempts[0]["instance"])
+            await asyncio.gather(bed.query(), bed.query())
+            status, body = await bed.get(f"/v1/explain/{first['request_id']}")
+            self.assertEqual((status, body["code"]), (404, "unknown_request"))
+
+    async def test_metrics_have_a_histogram_for_each_tenant_and_class(self):
+        async with Bed() as bed:
+            await bed.query(tenant="portal")
+            await bed.query(tenant="desk")
+            await bed.query(**{"class": "made-up"})
+            async with bed.session.get(bed.url + "/metrics") as response:
+                text = await response.text()
+            for tenant in ("portal", "desk"):
+                labels = f'request_class="search",tenant="{tenant}"'
+                self.assertIn(f"flamingostack_query_seconds_count{{{labels}}} 1", text)
+            self.assertIn("flamingostack_sub_request_primaries_total 20", text)
+            self.assertNotIn("made-up", text)
