Keep a finished query from being called when its stream breaks

Cause: when a stream broke, a query that ended by the failure of its first part had cancelled its other attempts, but the break still delivered their failures; the count of outstanding sub-requests of their targets then fell below the truth.

Change: a cancelled attempt is marked and skipped. An old slow latency now turns into the service's usual latency in place of zero, since a never-used target looked as if it were free and drew all queries at once. Refusals are kept for /v1/explain beside the traces.

--- a/flamingostack/entry/explain.py
+++ b/flamingostack/entry/explain.py
@@ -129,22 +129,37 @@
 
 
 class Traces:
-    """The last `capacity` traces by request id."""
+    """The last `capacity` traces by request id, and as many refusals.
 
-    __slots__ = ("capacity", "_traces_by_id")
+    They are kept apart, so that a wave of refusals does not push out the traces.
+    """
+
+    __slots__ = ("capacity", "_traces_by_id", "_refusals_by_id")
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
         self._traces_by_id: OrderedDict[str, Trace] = OrderedDict()
+        self._refusals_by_id: OrderedDict[str, dict] = OrderedDict()
 
     def add(self, trace: Trace) -> None:
         """Keep a trace in place of the oldest."""
+        self._keep(self._traces_by_id, trace.request_id, trace)
+
+    def add_refusal(self, request_id: str, refusal: dict) -> None:
+        """Keep the answer of a refused request in place of the oldest."""
+        self._keep(self._refusals_by_id, request_id, refusal)
+
+    def find(self, request_id: str) -> dict | None:
+        """Return what is known of a request as JSON values, or None if nothing is kept."""
+        trace = self._traces_by_id.get(request_id)
+        refusal = self._refusals_by_id.get(request_id)
+        if trace is None:
+            return refusal
+        return trace.render() | ({"refusal": refusal} if refusal else {})
+
+    def _keep(self, items: OrderedDict, request_id: str, item: object) -> None:
         if not self.capacity:
             return
-        self._traces_by_id[trace.request_id] = trace
-        if len(self._traces_by_id) > self.capacity:
-            self._traces_by_id.popitem(last=False)
-
-    def find(self, request_id: str) -> Trace | None:
-        """Return a trace, or None if it is unknown or no longer kept."""
-        return self._traces_by_id.get(request_id)
+        items[request_id] = item
+        if len(items) > self.capacity:
+            items.popitem(last=False)
--- a/flamingostack/entry/link.py
+++ b/flamingostack/entry/link.py
@@ -135,6 +135,7 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """Forget an attempt and cancel it at the dispatch process; no reply will be delivered."""
+        attempt.link = None
         if self.attempts_by_id.pop(attempt.id, None) is not None and self._may_send:
             self._batch.cancels.append(attempt.id)
             self._ready.set()
@@ -251,6 +252,9 @@
         self._ready.clear()
         attempts, self.attempts_by_id = self.attempts_by_id, {}
         for attempt in attempts.values():
+            if attempt.link is None:
+                # A query that ended by the failure of another of its attempts cancelled it.
+                continue
             if was_down or attempt.id in unsent:
                 self._fail(attempt, pb.SUB_STATUS_NOT_RUN, NO_CONNECTION)
             else:
--- a/flamingostack/entry/replicas.py
+++ b/flamingostack/entry/replicas.py
@@ -10,6 +10,7 @@
 
 INITIAL_LATENCY_S = 0.005
 EWMA_WEIGHT = 0.2
+SERVICE_EWMA_WEIGHT = 0.01
 # Reported values lag and count this process's own work too, so they weigh less than its own count.
 REPORTED_WEIGHT = 0.5
 REPORT_VALID_S = 1.0
@@ -20,11 +21,21 @@
 COLD_TRIAL_SHARE = 0.05
 
 
+class ServiceState:
+    """The usual latency of a service's targets, in seconds."""
+
+    __slots__ = ("latency",)
+
+    def __init__(self) -> None:
+        self.latency = INITIAL_LATENCY_S
+
+
 class TargetState:
     """What this process has seen of one target; latencies and times in seconds."""
 
     __slots__ = (
         "target_id",
+        "service",
         "latency",
         "updated",
         "outstanding",
@@ -36,9 +47,10 @@
         "is_cold",
     )
 
-    def __init__(self, target_id: str) -> None:
+    def __init__(self, target_id: str, service: ServiceState) -> None:
         self.target_id = target_id
-        self.latency = INITIAL_LATENCY_S
+        self.service = service
+        self.latency = service.latency
         self.updated = 0.0
         self.outstanding = 0
         self.reported_work = 0
@@ -53,6 +65,8 @@
         """Add one measured latency."""
         self.latency += EWMA_WEIGHT * (seconds - self.latency)
         self.updated = now
+        service = self.service
+        service.latency += SERVICE_EWMA_WEIGHT * (seconds - service.latency)
 
     def record_at_least(self, seconds: float, now: float) -> None:
         """Add an attempt that ended unanswered; it counts only if it was slower than usual."""
@@ -69,12 +83,16 @@
     def expected_latency(self, now: float) -> float:
         """Return the latency to expect of one more sub-request.
 
-        An old measurement loses weight, so that a target that was slow once is tried again.
+        A slow measurement turns into the service's usual latency with time, so that a target that
+        was slow once is tried again, but not by all queries at once.
         """
         work = self.outstanding
         if now - self.reported_at < REPORT_VALID_S:
             work += REPORTED_WEIGHT * self.reported_work
-        latency = self.latency / (1 + (now - self.updated)) if now > self.updated else self.latency
+        latency = self.latency
+        usual = self.service.latency
+        if latency > usual and now > self.updated:
+            latency = usual + (latency - usual) / (1 + now - self.updated)
         return latency * (1 + work / (self.limit if self.limit > 1 else 1))
 
 
@@ -106,6 +124,7 @@
         "_unusable_addresses",
         "_view",
         "_states_by_id",
+        "_states_by_service",
         "_routes_by_id",
         "_routes_by_replicas",
         "_random",
@@ -125,6 +144,7 @@
         self._unusable_addresses = unusable_addresses
         self._view = FleetView()
         self._states_by_id: dict[str, TargetState] = {}
+        self._states_by_service: dict[str, ServiceState] = {}
         self._routes_by_id: dict[str, Route | None] = {}
         self._routes_by_replicas: dict[tuple[str, ...], list[Route]] = {}
         self._random = random.Random(seed)
@@ -225,7 +245,8 @@
             return None
         state = self._states_by_id.get(target_id)
         if state is None:
-            state = self._states_by_id[target_id] = TargetState(target_id)
+            service = self._states_by_service.setdefault(info.service, ServiceState())
+            state = self._states_by_id[target_id] = TargetState(target_id, service)
         target = info.target
         state.cold_limit = target.cold_limit if target.cold_limit < target.slots else -1
         return Route(
--- a/flamingostack/entry/server.py
+++ b/flamingostack/entry/server.py
@@ -294,14 +294,14 @@
 
     async def _explain(self, request: web.Request) -> web.Response:
         request_id = request.match_info["request_id"]
-        trace = self.traces.find(request_id)
-        if trace is None:
+        known = self.traces.find(request_id)
+        if known is None:
             failure = make_failure(
                 EntryReason.UNKNOWN_REQUEST,
                 "this entry process keeps no trace of the request",
             )
             return self._refuse(failure, request_id)
-        return self._respond(trace.render())
+        return self._respond(known)
 
     async def _ready(self, _request: web.Request) -> web.Response:
         reasons = self.unready_reasons()
@@ -391,6 +391,8 @@
             "ran": reason.ran,
             "request_id": request_id,
         }
+        if reason is not EntryReason.UNKNOWN_REQUEST:
+            self.traces.add_refusal(request_id, value)
         return self._respond(value, status or reason.status)
 
     def _known_class(self, request_class: str) -> str:
--- a/tests/entry/test_fanout.py
+++ b/tests/entry/test_fanout.py
@@ -177,6 +177,16 @@
             _, result = await bed.query()
             self.assertEqual(result["coverage"], 1)
 
+    async def test_query_that_ends_by_a_broken_stream_is_not_called_again(self):
+        async with Bed(dispatches=1) as bed:
+            bed.behave(lambda item: None)
+            running = asyncio.create_task(bed.query(**{"class": "strict"}))
+            await asyncio.sleep(0.05)
+            await bed.dispatches[0].restart()
+            self.assertEqual((await running)[1]["code"], "coverage_too_low")
+            states = bed.server.fanout.replicas._states_by_id.values()
+            self.assertEqual({state.outstanding for state in states}, {0})
+
     async def test_silent_stream_is_given_up_by_lack_of_progress(self):
         async with Bed(dispatches=1) as bed:
             await bed.query()
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -215,6 +215,9 @@
             await asyncio.gather(bed.query(), bed.query())
             status, body = await bed.get(f"/v1/explain/{first['request_id']}")
             self.assertEqual((status, body["code"]), (404, "unknown_request"))
+            _, refusal = await bed.query(low=-1)
+            status, body = await bed.get(f"/v1/explain/{refusal['request_id']}")
+            self.assertEqual((status, body["code"]), (200, "unknown_range"))
 
     async def test_metrics_have_a_histogram_for_each_tenant_and_class(self):
         async with Bed() as bed:
