--- a/flamingostack/entry/server.py
+++ b/flamingostack/entry/server.py
@@ -86,8 +86,9 @@
         self.feed.report_shutdown(finished=False)
         await asyncio.sleep(self.environment.settings.entry.drain_notice_ms / MS_PER_S)
         self.shutdown.phase = Phase.FINISHING
-        if self._site is not None:
-            await self._site.stop()
+        site, self._site = self._site, None
+        if site is not None:
+            await site.stop()
         await self.shutdown.idle()
         unsettled = await self.once.settle()
         if unsettled:
@@ -293,14 +294,14 @@
 
     async def _explain(self, request: web.Request) -> web.Response:
         request_id = request.match_info["request_id"]
-        trace = self.traces.find(request_id)
-        if trace is None:
+        known = self.traces.find(request_id)
+        if known is None:
             failure = make_failure(
                 EntryReason.UNKNOWN_REQUEST,
                 "this entry process keeps no trace of the request",
             )
             return self._refuse(failure, request_id)
-        return self._respond(trace.render())
+        return self._respond(known)
 
     async def _ready(self, _request: web.Request) -> web.Response:
         reasons = self.unready_reasons()
@@ -390,6 +391,8 @@
             "ran": reason.ran,
             "request_id": request_id,
         }
+        if reason is not EntryReason.UNKNOWN_REQUEST:
+            self.traces.add_refusal(request_id, value)
         return self._respond(value, status or reason.status)
 
     def _known_class(self, request_class: str) -> str:
