--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -75,7 +75,7 @@
 class Process:
     """One child process; its output goes to a log file."""
 
-    __slots__ = ("name", "arguments", "log_path", "_child", "_log")
+    __slots__ = ("name", "arguments", "log_path", "_child", "_log", "_log_start")
 
     def __init__(self, name: str, arguments: list[str], log_path: Path) -> None:
         self.name = name
@@ -83,11 +83,14 @@
         self.log_path = log_path
         self._child: subprocess.Popen[bytes] | None = None
         self._log: IO[bytes] | None = None
+        # Where the present run starts in the log, which earlier runs may have written to.
+        self._log_start = 0
 
     def start(self) -> None:
         """Start the process in a session of its own, so that Ctrl-C reaches the launcher only."""
         self.close_log()
         self._log = self.log_path.open("ab")
+        self._log_start = self._log.tell()
         environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
         self._child = subprocess.Popen(
             [sys.executable, *self.arguments],
@@ -142,8 +145,10 @@
         return self.status() or 0
 
     def read_log(self) -> str:
-        """Return what the process has written so far."""
-        return self.log_path.read_text(errors="replace") if self.log_path.exists() else ""
+        """Return what the process has written since it was last started."""
+        if not self.log_path.exists():
+            return ""
+        return self.log_path.read_bytes()[self._log_start :].decode(errors="replace")
 
 
 class Instance:
@@ -223,13 +228,14 @@
         atexit.register(self.kill_all)
         try:
             await self._start()
-        except BaseException:
-            await self.close(failed=True)
+        except BaseException as error:
+            await self.close(failed=isinstance(error, Exception))
             raise
         return self
 
     async def __aexit__(self, kind: type | None, error: object, trace: object) -> None:
-        await self.close(failed=kind is not None)
+        # An interrupt is no failure.
+        await self.close(failed=kind is not None and issubclass(kind, Exception))
 
     async def close(self, failed: bool = False) -> None:
         """End everything; the logs stay if the directory was given or the context failed."""
@@ -514,10 +520,12 @@
     async def wait_ready(
         self, instance_ids: Iterable[str] | None = None, within_s: float = READY_WITHIN_S
     ) -> None:
-        """Wait until the entry processes of the given (or all running) instances report ready."""
+        """Wait until the given (or all running) instances report ready, and the caller knows it."""
         ids = list(instance_ids or (item.id for item in self.running_instances()))
 
         async def all_ready() -> bool:
+            if not set(ids) <= set(self.caller.ready):
+                return False
             return all([await self.is_ready(item) for item in ids])
 
         await self._wait_until(all_ready, within_s, f"not ready: {', '.join(ids)}")
--- a/tests/standins/test_launcher.py
+++ b/tests/standins/test_launcher.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 
@@ -95,8 +96,10 @@
 
     async def test_nothing_is_left_after_an_exception(self):
         """Guards against processes that outlive a failed test, also frozen ones."""
+        logs = tempfile.TemporaryDirectory()
+        self.addCleanup(logs.cleanup)
         with self.assertRaises(LauncherError):
-            async with stub_cluster() as cluster:
+            async with stub_cluster(log_dir=Path(logs.name)) as cluster:
                 pids = [process.pid for process in cluster.processes if process.pid]
                 self.assertGreaterEqual(len(pids), 3)
                 cluster.processes[0].send_signal(signal.SIGSTOP)
