Give each cluster blocks of ports of its own

Cause: a demo failed to start, since two of its processes had been given the same port. With SO_REUSEADDR two sockets bind one port as long as neither listens, so the probe found no conflict (for 40 ports out of 22,000 that happens in about 4% of the calls).

Ruled out: probing without the option, which leaves the time until the process starts.

Change: a cluster holds blocks of ports by listening on the first port of each.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -39,6 +39,7 @@
 # Below the kernel's range for outgoing connections, so that a port stays free between its choice
 # and its use, and while its process is being replaced.
 PORTS = range(10_000, 32_000)
+BLOCK_PORTS = 100
 POLL_S = 0.05
 READY_WITHIN_S = 20.0
 READY_TIMEOUT_S = 0.3
@@ -52,19 +53,64 @@
     """A process or the cluster did not do what the launcher waited for."""
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free loopback ports; they are bound together, so that all differ."""
-    generator = random.Random()
-    with contextlib.ExitStack() as stack:
-        ports: list[int] = []
-        while len(ports) < count:
-            probe = stack.enter_context(socket.socket())
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            port = generator.choice(PORTS)
-            with contextlib.suppress(OSError):
-                probe.bind((HOST, port))
-                ports.append(port)
-        return ports
+class PortPool:
+    """Free loopback ports for one cluster, in blocks that no other cluster uses.
+
+    A block belongs to whoever listens on its first port. Probing each port is not enough: a port
+    that is chosen is free until its process starts, and again while the process is replaced.
+    """
+
+    __slots__ = ("_guards", "_free")
+
+    def __init__(self) -> None:
+        self._guards: list[socket.socket] = []
+        self._free: list[int] = []
+
+    def take(self, count: int) -> list[int]:
+        """Return ports that were not returned before."""
+        while len(self._free) < count:
+            self._free += self._take_block()
+        taken, self._free = self._free[:count], self._free[count:]
+        return taken
+
+    def _take_block(self) -> list[int]:
+        starts = list(PORTS[::BLOCK_PORTS])
+        random.Random().shuffle(starts)
+        for start in starts:
+            guard = bind_port(start)
+            if guard is not None:
+                self._guards.append(guard)
+                return [port for port in range(start + 1, start + BLOCK_PORTS) if is_free(port)]
+        raise LauncherError(f"no free ports from {PORTS.start} to {PORTS.stop}")
+
+    def close(self) -> None:
+        """Give the blocks back."""
+        for guard in self._guards:
+            guard.close()
+        self._guards.clear()
+        self._free.clear()
+
+
+def bind_port(port: int) -> socket.socket | None:
+    """Return a socket that listens on a loopback port, or None if the port is in use."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((HOST, port))
+        listener.listen()
+    except OSError:
+        listener.close()
+        return None
+    return listener
+
+
+def is_free(port: int) -> bool:
+    """Tell whether nothing listens on a loopback port."""
+    listener = bind_port(port)
+    if listener is None:
+        return False
+    listener.close()
+    return True
 
 
 def die_with_parent() -> None:
@@ -220,6 +266,7 @@
         self.session: aiohttp.ClientSession | None = None
         self.caller: Caller | None = None
         self._made_log_dir = log_dir is None
+        self._ports = PortPool()
         self.log_dir = log_dir or Path(tempfile.mkdtemp(prefix="flamingostack-"))
 
     # ---- Start and end ----
@@ -242,6 +289,7 @@
         # Synchronous and first, so that a second Ctrl-C cannot leave a process behind.
         self.kill_all()
         atexit.unregister(self.kill_all)
+        self._ports.close()
         if self.caller is not None:
             await self.caller.close()
         if self.session is not None:
@@ -290,7 +338,7 @@
         return process
 
     async def _start_platform(self) -> None:
-        port, admin_port = find_ports(2)
+        port, admin_port = self._ports.take(2)
         self.store_url = f"http://{HOST}:{port}"
         self.platform_admin = f"http://{HOST}:{admin_port}"
         arguments = ["--port", str(port), "--admin-port", str(admin_port), "--seed", str(self.seed)]
@@ -300,7 +348,7 @@
         await self._wait_listening([process])
 
     async def _start_proxy(self) -> None:
-        admin_port = find_ports(1)[0]
+        admin_port = self._ports.take(1)[0]
         self.proxy_admin = f"http://{HOST}:{admin_port}"
         config = proxy.Config(admin_port=admin_port, listeners=[], seed=self.seed)
         path = self._write_config("proxy", config)
@@ -310,7 +358,7 @@
     async def _start_searchers(self) -> None:
         count = sum(service.groups * service.replicas for service in self.deployment.services)
         workers = min(self.searcher_processes, count)
-        ports = find_ports(count + workers)
+        ports = self._ports.take(count + workers)
         admin_ports, ports = ports[:workers], ports[workers:]
         configs = make_searcher_configs(
             self.deployment, ports, self.first_snapshot, self.searcher_changes
@@ -360,7 +408,7 @@
             self._make_instance(f"{domain}-{number // len(domains) + 1}", domain)
 
     def _make_instance(self, instance_id: str, failure_domain: str) -> Instance:
-        instance = Instance(instance_id, failure_domain, find_ports(4))
+        instance = Instance(instance_id, failure_domain, self._ports.take(4))
         settings_path = self.log_dir / f"{instance_id}.toml"
         instance.settings_path = settings_path
         instance.processes = {
@@ -760,7 +808,7 @@
 
     async def add_link(self, name: str, upstream: str, delay_ms: float = 0.0) -> str:
         """Start a listener of the proxy in front of `upstream`; return its address."""
-        port = find_ports(1)[0]
+        port = self._ports.take(1)[0]
         body = {"id": name, "port": port, "upstream": upstream, "delay_ms": delay_ms}
         await self.call("POST", f"{self.proxy_admin}/listeners", body)
         self.listeners[name] = f"{HOST}:{port}"
--- a/tests/standins/test_launcher.py
+++ b/tests/standins/test_launcher.py
@@ -13,7 +13,7 @@
 from flamingostack.generated import messages_pb2 as pb
 from flamingostack.settings import load_settings
 from standins.deployments import ASSINIBOINE, DUMALAGAN
-from standins.launcher import ROOT, Cluster, LauncherError, find_wrong
+from standins.launcher import PORTS, ROOT, Cluster, LauncherError, PortPool, find_wrong
 
 SMALL = DUMALAGAN.reduce(groups=2, services=("enquiry",))
 INTERRUPTED = """
@@ -132,6 +132,19 @@
         self.assertEqual([pid for pid in pids if is_alive(pid)], [])
 
 
+class PortPoolTest(unittest.TestCase):
+    """Guards against two processes that are given the same port."""
+
+    def test_ports_differ_within_and_between_pools(self):
+        pools = [PortPool() for _ in range(4)]
+        for pool in pools:
+            self.addCleanup(pool.close)
+        ports = [port for _ in range(30) for pool in pools for port in pool.take(10)]
+        self.assertEqual(len(ports), 1200)
+        self.assertEqual(len(set(ports)), len(ports))
+        self.assertTrue(set(ports) <= set(PORTS))
+
+
 class FindWrongTest(unittest.TestCase):
     """Guards against a check of answers that lets wrong ones pass."""
 
