Refuse text that is not UTF-8 and coverage that the map cannot give

Cause: values that are passed on undecoded were not checked. A submit whose body was not UTF-8, or held a number out of range, ended as an internal error, and one target's answer with broken UTF-8 would have made the caller's whole answer unreadable. A query whose range is not mapped far enough for its lowest coverage was sent to targets in vain.

Ruled out: decoding every target's answer; a check of the encoding costs far less and is all that the merged answer needs.

Change: both are refused as malformed, a target's answer that is not JSON in UTF-8 counts as failed, the Idempotency-Key must be printable ASCII, and a range that is mapped too little is unknown_range. The test of the command line waits for event=listening, since the loss of the control connection may be logged first.

--- a/flamingostack/entry/fanout.py
+++ b/flamingostack/entry/fanout.py
@@ -651,13 +651,15 @@
 
 
 def make_json_check() -> Callable[[bytes], bool]:
-    """Return a function that tells whether bytes are one JSON value."""
+    """Return a function that tells whether bytes are one JSON value in UTF-8."""
     decoder = msgspec.json.Decoder(msgspec.Raw)
 
     def is_json(body: bytes) -> bool:
         try:
+            if not body.isascii():
+                body.decode()
             decoder.decode(body)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             return False
         return True
 
--- a/flamingostack/entry/requests.py
+++ b/flamingostack/entry/requests.py
@@ -50,21 +50,33 @@
 
 def decode_submit(body: bytes) -> SubmitRequest | Failure[EntryReason]:
     """Decode a submit; the failure's message names the key's path."""
-    return _decode(SUBMIT_DECODER, body)
+    asked = _decode(SUBMIT_DECODER, body)
+    if isinstance(asked, Failure):
+        return asked
+    try:
+        # Its hash is taken later, when a value that cannot be decoded would be an internal error.
+        msgspec.json.decode(asked.body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return make_failure(EntryReason.MALFORMED, f"{error} - at `$.body`")
+    return asked
 
 
 def check_idempotency_key(key: str | None) -> Failure[EntryReason] | None:
     """Return why an Idempotency-Key header cannot be used."""
-    if key and len(key) <= MAX_IDEMPOTENCY_KEY:
+    if key and len(key) <= MAX_IDEMPOTENCY_KEY and key.isascii() and key.isprintable():
         return None
     return make_failure(
         EntryReason.MALFORMED,
-        f"the Idempotency-Key header must have 1 to {MAX_IDEMPOTENCY_KEY} characters",
+        f"the Idempotency-Key header must have 1 to {MAX_IDEMPOTENCY_KEY} printable"
+        " ASCII characters",
     )
 
 
 def _decode(decoder: msgspec.json.Decoder, body: bytes):
     try:
+        # Values that are passed on as they are would not be checked by the decoder.
+        if not body.isascii():
+            body.decode()
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return make_failure(EntryReason.MALFORMED, str(error))
--- a/flamingostack/entry/server.py
+++ b/flamingostack/entry/server.py
@@ -143,9 +143,9 @@
         interval = check_range(admission.pinned, asked.low, asked.high)
         if isinstance(interval, Failure):
             return self._refuse(interval, request_id, asked.request_class)
-        if not admission.pinned.split(*interval):
-            failure = make_failure(EntryReason.UNKNOWN_RANGE, "no target serves the range")
-            return self._refuse(failure, request_id, asked.request_class)
+        problem = self._check_mapped(asked, admission, interval)
+        if problem is not None:
+            return self._refuse(problem, request_id, asked.request_class)
         self.shutdown.begin()
         try:
             return await self._run_query(asked, admission, interval, request_id, started)
@@ -161,9 +161,6 @@
         started: float,
     ) -> web.Response:
         trace = self._make_trace(asked, admission, request_id, started)
-        min_coverage = asked.min_coverage
-        if min_coverage is None:
-            min_coverage = admission.policy.min_coverage
         plan = QueryPlan(
             request_id=request_id,
             request_class=asked.request_class,
@@ -173,7 +170,7 @@
             low=asked.low,
             high=asked.high,
             deadline=admission.deadline,
-            min_coverage=min_coverage,
+            min_coverage=find_min_coverage(asked, admission),
         )
         result = await self.fanout.start_query(plan, admission.pinned, interval, trace)
         code = result.reason.code if result.reason else "ok"
@@ -361,6 +358,26 @@
     def _max_request_ms(self) -> int:
         return self.environment.settings.fleet.max_request_ms
 
+    def _check_mapped(
+        self,
+        asked: QueryRequest,
+        admission: Admission,
+        interval: tuple[int, int],
+    ) -> Failure[EntryReason] | None:
+        """Return why no answer can have the coverage asked for, before anything is sent."""
+        low, high = interval
+        parts = admission.pinned.split(low, high)
+        min_coverage = find_min_coverage(asked, admission)
+        if parts and not min_coverage:
+            return None
+        mapped = sum(end - start for start, end, _ in parts) / (high - low)
+        if mapped and mapped >= min_coverage:
+            return None
+        return make_failure(
+            EntryReason.UNKNOWN_RANGE,
+            f"snapshot {admission.pinned.snapshot} maps {mapped:.6g} of the range",
+        )
+
     # ---- Answers, traces, metrics ----------------------------------------
 
     def _next_id(self) -> str:
@@ -452,3 +469,10 @@
             grown = max(value - self._counted.get(name, 0), 0)
             self._counted[name] = value
             self.metrics.count(f"flamingostack_sub_request_{name}_total", grown)
+
+
+def find_min_coverage(asked: QueryRequest, admission: Admission) -> float:
+    """Return the caller's lowest coverage, or the class's if the caller gives none."""
+    if asked.min_coverage is None:
+        return admission.policy.min_coverage
+    return asked.min_coverage
--- a/tests/entry/test_main.py
+++ b/tests/entry/test_main.py
@@ -46,6 +46,14 @@
     )
 
 
+def wait_listening(process: subprocess.Popen) -> None:
+    """Read the log until the process listens; it may first report that it has no control."""
+    for line in process.stderr:
+        if "event='listening'" in line:
+            return
+    raise AssertionError("the process ended before it listened")
+
+
 class MainTest(unittest.TestCase):
     """Guards against a process that does not start, report or end as the other parts expect."""
 
@@ -54,7 +62,7 @@
         with tempfile.TemporaryDirectory() as folder:
             process = start(write_settings(folder, address))
             try:
-                self.assertIn("event='listening'", process.stderr.readline())
+                wait_listening(process)
                 with urllib.request.urlopen(f"http://{address}/live", timeout=5) as response:
                     self.assertEqual(response.status, 200)
                 with self.assertRaises(urllib.error.HTTPError) as caught:
@@ -74,7 +82,7 @@
         with tempfile.TemporaryDirectory() as folder:
             path = write_settings(folder, free_address())
             process = start(path)
-            self.assertIn("listening", process.stderr.readline())
+            wait_listening(process)
             second = start(path)
             _, message = second.communicate(timeout=START_S)
             self.assertEqual(second.returncode, 1, message)
--- a/tests/entry/test_query.py
+++ b/tests/entry/test_query.py
@@ -76,11 +76,13 @@
                 reply = answer(item)
                 if item.low == 0:
                     reply.body = b'{"snapshot":'
+                if item.low == 100:
+                    reply.body = b'{"snapshot": "\xff"}'
                 return 0, reply
 
             bed.behave(behave)
             _, result = await bed.query()
-            self.assertEqual(result["missing"], [[0, 100]])
+            self.assertEqual(result["missing"], [[0, 200]])
 
 
 class SnapshotTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -30,6 +30,8 @@
     b"[]",
     b"\xff\xfe",
     b"[" * 100_000,
+    b'{"class": "search", "tenant": "t", "query": "\xff"}',
+    b'{"class": "search", "tenant": "t", "query": NaN}',
     QUERY | {"tenant": 5},
     QUERY | {"tenant": ""},
     QUERY | {"tenant": "x" * 65},
@@ -41,7 +43,13 @@
     QUERY | {"min_coverage": 1.1},
     {"class": "search", "tenant": "t"},
 ]
-WRONG_SUBMITS = [SUBMIT | {"key": "5"}, SUBMIT | {"low": 1}, {"class": "booking", "tenant": "t"}]
+WRONG_SUBMITS = [
+    SUBMIT | {"key": "5"},
+    SUBMIT | {"low": 1},
+    {"class": "booking", "tenant": "t"},
+    b'{"class": "booking", "tenant": "t", "key": 5, "body": "\xff"}',
+    b'{"class": "booking", "tenant": "t", "key": 5, "body": 1e999}',
+]
 
 
 class RefusalTest(unittest.IsolatedAsyncioTestCase):
@@ -71,9 +79,10 @@
                 result = await self.post(bed, "/v1/submit", body, **{"Idempotency-Key": "k"})
                 self.assert_refused(result, "malformed")
             self.assert_refused(await self.post(bed, "/v1/submit", SUBMIT), "malformed")
-            long_key = {"Idempotency-Key": "k" * 300}
-            result = await self.post(bed, "/v1/submit", SUBMIT, **long_key)
-            self.assert_refused(result, "malformed")
+            for key in ("k" * 300, "", "\u00e9"):
+                headers = {"Idempotency-Key": key}
+                result = await self.post(bed, "/v1/submit", SUBMIT, **headers)
+                self.assert_refused(result, "malformed")
             for path, status in (("/v1/other", 404), ("/ready", 405)):
                 result = await self.post(bed, path, QUERY)
                 self.assertEqual((result[0], result[1]["code"]), (status, "malformed"))
@@ -110,6 +119,8 @@
             del index.snapshots[0].ranges[3]
             bed.apply(index=index)
             self.assert_refused(await bed.query(low=310, high=390), "unknown_range")
+            self.assert_refused(await bed.query(min_coverage=0.95), "unknown_range")
+            self.assertEqual(bed.requests, [])
             _, result = await bed.query()
             self.assertEqual((result["coverage"], result["missing"]), (0.9, [[300, 400]]))
 
