Refuse queued work early when a target's limit falls

Cause: the expected wait was checked only when work arrived. When a target turned cold, its queue stayed until the deadlines, although replicas could have served it; and before the first answer the queue was not bounded by an expected wait at all.

Ruled out: checking again after each cold answer, which refused work that higher priorities had only overtaken.

Change: a lower limit checks the queue again in its order; 20 ms are assumed until the first answer.

--- a/flamingostack/dispatch/queue.py
+++ b/flamingostack/dispatch/queue.py
@@ -51,7 +51,8 @@
             heapq.heapify(self._heap)
 
     def take_all(self) -> list[Work]:
-        """Empty the queue and return the work that was waiting."""
+        """Empty the queue and return the work that was waiting, in its order."""
+        self._heap.sort()
         waiting = [entry[3] for entry in self._heap if entry[3].state is WorkState.QUEUED]
         for work in waiting:
             work.state = WorkState.DONE
--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -44,6 +44,8 @@
 # Weight of a new sample in the mean time that the target takes; the first ones weigh more, since
 # the very first includes the new connection.
 SERVICE_TIME_WEIGHT = 0.1
+# Assumed before the first answer, so that a new target's queue is bounded as well.
+FIRST_SERVICE_NS = 20 * NS_PER_MS
 # The shortest service time rises by this share of the difference to each longer sample, and falls
 # by a tenth with each refusal that is based on it, so that a slow phase cannot refuse for ever.
 SHORTEST_RISE = 0.02
@@ -263,6 +265,7 @@
         self._apply_policy(view)
         self._apply_grant(view)
         self._apply_marks(view)
+        self._trim_queue()
 
     def _apply_policy(self, view: FleetView) -> None:
         policy = get_limit_policy(view)
@@ -344,12 +347,21 @@
         if self.in_flight < limit and not self.queue.length:
             return ""
         ahead = self.queue.length_ahead(work.policy.priority)
-        wait_ns = self._mean_ns * (ahead + 1) / limit
+        wait_ns = (self._mean_ns or FIRST_SERVICE_NS) * (ahead + 1) / limit
         remaining_ns = work.deadline_ns - self._now_ns() - self._shortest_ns
         if wait_ns > min(work.policy.max_queue_ms * NS_PER_MS, remaining_ns):
             return "queue_full"
         return ""
 
+    def _trim_queue(self) -> None:
+        """Refuse at once what would wait too long now that the limit is lower."""
+        for work in self.queue.take_all():
+            refusal = self._find_wait_refusal(work)
+            if refusal:
+                self._reply(work, NOT_RUN, refusal)
+            else:
+                self.queue.push(work)
+
     def _refuse_queue(self, reason: str) -> None:
         for work in self.queue.take_all():
             self._reply(work, NOT_RUN, reason)
@@ -432,6 +444,7 @@
             self._wake.set_result(None)
 
     def _learn(self, work: Work, outcome: Outcome, epoch: int) -> None:
+        known_limit = self.limit.current
         if outcome.is_silent:
             self.connections.abandon()
             half_open_s = self.context.environment.settings.dispatch.half_open_ms / 1000
@@ -442,6 +455,8 @@
             self.limit.on_answer(outcome.is_cold, epoch)
         if outcome.status == pb.SUB_STATUS_OK:
             self._record_service_time(self._now_ns() - work.started_ns)
+        if self.limit.current < known_limit:
+            self._trim_queue()
 
     def _expire_half_open(self) -> None:
         self.connections.expire()
