--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -41,8 +41,11 @@
 MAX_SENDS = 3
 # Read timeouts are rounded up to this, so that few distinct timeout objects are needed.
 TIMEOUT_STEP_MS = 100
-# Weight of a new sample in the mean time that the target takes.
+# Weight of a new sample in the mean time that the target takes; the first ones weigh more, since
+# the very first includes the new connection.
 SERVICE_TIME_WEIGHT = 0.1
+# Assumed before the first answer, so that a new target's queue is bounded as well.
+FIRST_SERVICE_NS = 20 * NS_PER_MS
 # The shortest service time rises by this share of the difference to each longer sample, and falls
 # by a tenth with each refusal that is based on it, so that a slow phase cannot refuse for ever.
 SHORTEST_RISE = 0.02
@@ -170,6 +173,7 @@
         "_was_leaving",
         "_was_returning",
         "_mean_ns",
+        "_samples",
         "_shortest_ns",
         "_loop",
         "_now_ns",
@@ -201,6 +205,7 @@
         self._was_leaving = False
         self._was_returning = False
         self._mean_ns = 0.0
+        self._samples = 0
         self._shortest_ns = 0.0
         self._loop = asyncio.get_running_loop()
         self._now_ns = context.environment.now_ns
@@ -260,6 +265,7 @@
         self._apply_policy(view)
         self._apply_grant(view)
         self._apply_marks(view)
+        self._trim_queue()
 
     def _apply_policy(self, view: FleetView) -> None:
         policy = get_limit_policy(view)
@@ -341,12 +347,21 @@
         if self.in_flight < limit and not self.queue.length:
             return ""
         ahead = self.queue.length_ahead(work.policy.priority)
-        wait_ns = self._mean_ns * (ahead + 1) / limit
+        wait_ns = (self._mean_ns or FIRST_SERVICE_NS) * (ahead + 1) / limit
         remaining_ns = work.deadline_ns - self._now_ns() - self._shortest_ns
         if wait_ns > min(work.policy.max_queue_ms * NS_PER_MS, remaining_ns):
             return "queue_full"
         return ""
 
+    def _trim_queue(self) -> None:
+        """Refuse at once what would wait too long now that the limit is lower."""
+        for work in self.queue.take_all():
+            refusal = self._find_wait_refusal(work)
+            if refusal:
+                self._reply(work, NOT_RUN, refusal)
+            else:
+                self.queue.push(work)
+
     def _refuse_queue(self, reason: str) -> None:
         for work in self.queue.take_all():
             self._reply(work, NOT_RUN, reason)
@@ -429,6 +444,7 @@
             self._wake.set_result(None)
 
     def _learn(self, work: Work, outcome: Outcome, epoch: int) -> None:
+        known_limit = self.limit.current
         if outcome.is_silent:
             self.connections.abandon()
             half_open_s = self.context.environment.settings.dispatch.half_open_ms / 1000
@@ -439,6 +455,8 @@
             self.limit.on_answer(outcome.is_cold, epoch)
         if outcome.status == pb.SUB_STATUS_OK:
             self._record_service_time(self._now_ns() - work.started_ns)
+        if self.limit.current < known_limit:
+            self._trim_queue()
 
     def _expire_half_open(self) -> None:
         self.connections.expire()
@@ -447,8 +465,11 @@
     def _record_service_time(self, elapsed_ns: int) -> None:
         if not self._mean_ns:
             self._mean_ns = self._shortest_ns = elapsed_ns
+            self._samples = 1
             return
-        self._mean_ns += (elapsed_ns - self._mean_ns) * SERVICE_TIME_WEIGHT
+        self._samples += 1
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self._samples)
+        self._mean_ns += (elapsed_ns - self._mean_ns) * weight
         if elapsed_ns < self._shortest_ns:
             self._shortest_ns = elapsed_ns
         else:
