Limit whole queries in flight under overload

Cause: at 150% of the targets' capacity almost no query was answered whole. Each query has 10 parts; with 1 part in 3 refused by full queues, work was spent on answers that missed a part. Ruled out: targets or dispatch processes being out of processor time (dispatch used 0.40, the searchers 0.20 of a core), and cold limits (no target turned cold). Change: each entry process limits the queries in flight to a service by additive increase and multiplicative decrease on the share of queries that lost a part to full queues; classes with a later priority are refused first, at once and as not run. The baseline has no such limit.

--- a/flamingostack/entry/fanout.py
+++ b/flamingostack/entry/fanout.py
@@ -22,6 +22,7 @@
 from .explain import Trace
 from .latency import LatencyWindow
 from .link import Attempt, Links
+from .overload import OverloadLimit
 from .plan import Maps, PinnedMap, check_range
 from .refusals import EntryReason
 from .replicas import AVOID_AFTER_FAILURE_S, AVOID_AFTER_REFUSAL_S, Replicas, Route
@@ -40,6 +41,8 @@
 ANSWER_MARGIN_MAX_S = 0.015
 
 QUEUE_FULL = "queue_full"
+# Reasons of NOT_RUN that tell of more work than the targets can take.
+OVERLOAD_REASONS = (QUEUE_FULL, "deadline")
 SNAPSHOT_DIFFERS = "snapshot_differs"
 MALFORMED_ANSWER = "malformed_answer"
 
@@ -59,6 +62,7 @@
         "is_hedged",
         "refusals",
         "is_queue_full",
+        "is_overloaded",
         "sent_at",
     )
 
@@ -74,6 +78,7 @@
         self.is_hedged = False
         self.refusals = 0
         self.is_queue_full = False
+        self.is_overloaded = False
         self.sent_at = 0.0
 
 
@@ -118,7 +123,15 @@
 class QueryResult:
     """The merged answer; `reason` is None if it may be given to the caller."""
 
-    __slots__ = ("reason", "message", "snapshot", "coverage", "missing", "bodies")
+    __slots__ = (
+        "reason",
+        "message",
+        "snapshot",
+        "coverage",
+        "missing",
+        "bodies",
+        "lost_to_overload",
+    )
 
     def __init__(
         self,
@@ -128,6 +141,7 @@
         coverage: float,
         missing: list[Interval],
         bodies: list[bytes],
+        lost_to_overload: bool = False,
     ) -> None:
         self.reason = reason
         self.message = message
@@ -135,6 +149,7 @@
         self.coverage = coverage
         self.missing = missing
         self.bodies = bodies
+        self.lost_to_overload = lost_to_overload
 
 
 class FanoutCounts:
@@ -166,6 +181,7 @@
         "loop",
         "_budgets_by_class",
         "_windows_by_service",
+        "_overload_by_service",
     )
 
     def __init__(self, environment: Environment, feed: StateFeed) -> None:
@@ -180,6 +196,7 @@
         self.loop = asyncio.get_running_loop()
         self._budgets_by_class: dict[str, ExtraBudget] = {}
         self._windows_by_service: dict[str, LatencyWindow] = {}
+        self._overload_by_service: dict[str, OverloadLimit] = {}
 
     def apply(self, view: FleetView) -> None:
         """Use a new view for all later choices; running queries keep their snapshot."""
@@ -205,6 +222,13 @@
             window = self._windows_by_service[service] = LatencyWindow(self.loop.time())
         return window
 
+    def overload_of(self, service: str) -> OverloadLimit:
+        """Return the limit of queries in flight to a service."""
+        limit = self._overload_by_service.get(service)
+        if limit is None:
+            limit = self._overload_by_service[service] = OverloadLimit(self.loop.time())
+        return limit
+
     def start_query(
         self,
         plan: QueryPlan,
@@ -408,6 +432,7 @@
     def _send_elsewhere(self, attempt: Attempt, part: Part, reason: str, now: float) -> None:
         """Try a part elsewhere that was never sent to a target."""
         part.is_queue_full = reason == QUEUE_FULL
+        part.is_overloaded = reason in OVERLOAD_REASONS
         if part.running:
             # The other attempt goes on; what was paid for this one is still unused.
             if attempt.is_paid:
@@ -630,6 +655,7 @@
                 coverage=coverage,
                 missing=missing,
                 bodies=[part.answer for part in answered],
+                lost_to_overload=any(part.is_overloaded and not part.answer for part in self.parts),
             )
         )
 
--- /dev/null
+++ b/flamingostack/entry/overload.py
@@ -0,0 +1,76 @@
+"""Admission of whole queries under overload.
+
+A query is worth most when all its parts are answered. Once targets refuse parts, admitting every
+query leaves almost none whole: at 10 parts and 1 in 3 refused, 2 in 100. So the number of queries
+in flight is limited for each service, by additive increase and multiplicative decrease on the
+share of queries that lost a part to full queues.
+"""
+
+from __future__ import annotations
+
+WINDOW_S = 0.2
+# A window with a larger share of queries that lost a part lowers the limit.
+TOLERATED_LOSS_SHARE = 0.02
+DECREASE_FACTOR = 0.9
+INCREASE_SHARE = 0.04
+INCREASE_MIN = 0.5
+# The limit grows only while it is used to this share; an unused limit says nothing.
+USED_SHARE = 0.8
+MIN_LIMIT = 2.0
+# Each step of a class's priority number gives up this share of the limit, so that classes that
+# are served later are refused first.
+SHARE_PER_PRIORITY = 0.05
+# Windows without loss, at a limit that is not used, after which there is no limit any more.
+FORGET_WINDOWS = 50
+
+
+class OverloadLimit:
+    """Limit of queries in flight to one service from this process; times are in seconds."""
+
+    __slots__ = ("limit", "in_flight", "_window_end", "_ended", "_lost", "_peak", "_calm_windows")
+
+    def __init__(self, now: float) -> None:
+        self.limit = float("inf")
+        self.in_flight = 0
+        self._window_end = now + WINDOW_S
+        self._ended = 0
+        self._lost = 0
+        self._peak = 0
+        self._calm_windows = 0
+
+    def try_enter(self, priority: int, now: float) -> bool:
+        """Count a query in, or return False if it has to be refused."""
+        self._roll(now)
+        allowed = max(self.limit * (1 - SHARE_PER_PRIORITY * priority), 1.0)
+        if self.in_flight >= allowed:
+            self._peak = max(self._peak, self.in_flight)
+            return False
+        self.in_flight += 1
+        self._peak = max(self._peak, self.in_flight)
+        return True
+
+    def leave(self, lost_part: bool, now: float) -> None:
+        """Count a query out; `lost_part` tells that full queues cost it a part."""
+        self.in_flight -= 1
+        self._ended += 1
+        self._lost += lost_part
+        self._roll(now)
+
+    def _roll(self, now: float) -> None:
+        if now < self._window_end:
+            return
+        if self._ended and self._lost > self._ended * TOLERATED_LOSS_SHARE:
+            # Before the first loss there is no limit; the peak is what the targets were given.
+            base = min(self.limit, self._peak)
+            self.limit = max(base * DECREASE_FACTOR, MIN_LIMIT)
+            self._calm_windows = 0
+        elif self._peak >= self.limit * USED_SHARE:
+            self.limit += max(self.limit * INCREASE_SHARE, INCREASE_MIN)
+            self._calm_windows = 0
+        else:
+            self._calm_windows += 1
+            if self._calm_windows >= FORGET_WINDOWS:
+                self.limit = float("inf")
+        self._window_end = now + WINDOW_S
+        self._ended = self._lost = 0
+        self._peak = self.in_flight
--- a/flamingostack/entry/server.py
+++ b/flamingostack/entry/server.py
@@ -17,6 +17,7 @@
 from .explain import Trace, Traces
 from .fanout import Fanout, QueryPlan, QueryResult, answer_margin
 from .once import Once, OnceAnswer, StoreClient, make_body_hash, make_record_key
+from .overload import OverloadLimit
 from .plan import PinnedMap, check_range
 from .refusals import RAN, EntryReason
 from .requests import (
@@ -146,12 +147,29 @@
         problem = self._check_mapped(asked, admission, interval)
         if problem is not None:
             return self._refuse(problem, request_id, asked.request_class)
+        overload = self.fanout.overload_of(admission.pinned.service)
+        if not self._may_enter(overload, admission.policy):
+            failure = make_failure(EntryReason.OVERLOADED, "the service's targets are full")
+            return self._refuse(failure, request_id, asked.request_class)
         self.shutdown.begin()
+        lost_to_overload = False
         try:
-            return await self._run_query(asked, admission, interval, request_id, started)
+            result, response = await self._run_query(
+                asked, admission, interval, request_id, started
+            )
+            lost_to_overload = result.lost_to_overload
+            return response
         finally:
+            overload.leave(lost_to_overload, self._loop.time())
             self.shutdown.end()
 
+    def _may_enter(self, overload: OverloadLimit, policy: ClassPolicy) -> bool:
+        """Count a query in; the baseline has no limit."""
+        if self.fanout.is_baseline:
+            overload.in_flight += 1
+            return True
+        return overload.try_enter(policy.priority, self._loop.time())
+
     async def _run_query(
         self,
         asked: QueryRequest,
@@ -159,7 +177,7 @@
         interval: tuple[int, int],
         request_id: str,
         started: float,
-    ) -> web.Response:
+    ) -> tuple[QueryResult, web.Response]:
         trace = self._make_trace(asked, admission, request_id, started)
         plan = QueryPlan(
             request_id=request_id,
@@ -177,8 +195,8 @@
         elapsed = self._end_trace(trace, code, "flamingostack_query_seconds")
         if result.reason is not None:
             failure = make_failure(result.reason, result.message)
-            return self._refuse(failure, request_id, asked.request_class)
-        return self._answer_query(result, admission, request_id, elapsed)
+            return result, self._refuse(failure, request_id, asked.request_class)
+        return result, self._answer_query(result, admission, request_id, elapsed)
 
     def _answer_query(
         self,
