--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,251 @@
+"""Open-loop load: seeded arrivals, latency counted from the intended arrival."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterator
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from flamingostack.metrics import HIGHEST_US, LOWEST_US
+
+SIGNIFICANT_DIGITS = 3
+US_PER_S = 1_000_000
+# Time after the last arrival in which answers are still awaited, over the class's deadline.
+GRACE_S = 2.0
+
+
+class ClassLoad:
+    """Arrivals of one request class: queries a second and the body of each query."""
+
+    __slots__ = ("request_class", "tenant", "rate_per_s", "deadline_ms")
+
+    def __init__(
+        self,
+        request_class: str,
+        tenant: str,
+        rate_per_s: float,
+        deadline_ms: int,
+    ) -> None:
+        self.request_class = request_class
+        self.tenant = tenant
+        self.rate_per_s = rate_per_s
+        self.deadline_ms = deadline_ms
+
+
+class ClassResult:
+    """What callers of one class saw."""
+
+    __slots__ = (
+        "histogram",
+        "refusal_histogram",
+        "sent",
+        "answered",
+        "whole",
+        "whole_in_time",
+        "coverage_sum",
+        "wrong",
+        "errors_by_code",
+        "whole_by_second",
+        "sent_by_second",
+    )
+
+    def __init__(self) -> None:
+        self.histogram = make_histogram()
+        self.refusal_histogram = make_histogram()
+        self.sent = 0
+        self.answered = 0
+        self.whole = 0
+        self.whole_in_time = 0
+        self.coverage_sum = 0.0
+        self.wrong = 0
+        self.errors_by_code: dict[str, int] = {}
+        self.whole_by_second: dict[int, int] = {}
+        self.sent_by_second: dict[int, int] = {}
+
+    def percentile_ms(self, quantile: float) -> float:
+        """Return a percentile of the answered queries' latency in milliseconds."""
+        return self.histogram.get_value_at_percentile(quantile) / 1000
+
+    def summary(self) -> dict[str, object]:
+        """Return the figures as plain values, for JSON and for tables."""
+        sent = max(self.sent, 1)
+        return {
+            "sent": self.sent,
+            "answered": self.answered,
+            "p50_ms": round(self.percentile_ms(50), 2),
+            "p99_ms": round(self.percentile_ms(99), 2),
+            "p99_9_ms": round(self.percentile_ms(99.9), 2),
+            "refusal_p99_ms": round(
+                self.refusal_histogram.get_value_at_percentile(99) / 1000,
+                2,
+            ),
+            "coverage_mean": round(self.coverage_sum / sent, 5),
+            "whole_in_time_percent": round(100 * self.whole_in_time / sent, 3),
+            "lowest_second_percent": round(self.lowest_second_percent(), 2),
+            "wrong": self.wrong,
+            "errors": dict(sorted(self.errors_by_code.items())),
+        }
+
+    def lowest_second_percent(self) -> float:
+        """Return the lowest share of answers whole in time over the seconds of arrival."""
+        shares = [
+            100 * self.whole_by_second.get(second, 0) / count
+            for second, count in self.sent_by_second.items()
+            if count
+        ]
+        return min(shares, default=0.0)
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def arrival_times(rate_per_s: float, duration_s: float, seed: int) -> Iterator[float]:
+    """Yield Poisson arrival times in seconds from the start."""
+    generator = random.Random(seed)
+    now = generator.expovariate(rate_per_s)
+    while now < duration_s:
+        yield now
+        now += generator.expovariate(rate_per_s)
+
+
+async def run_load(
+    loads: list[ClassLoad],
+    pick_entry: Callable[[], str | None],
+    duration_s: float,
+    seed: int,
+) -> dict[str, ClassResult]:
+    """Send all classes' queries for `duration_s`; return the results by class.
+
+    `pick_entry` returns the base URL of an entry process that reports ready. A query is sent at
+    its intended time whether or not earlier ones have been answered, and its latency counts from
+    that time, so that a stall of the tier is not hidden by a stalled sender.
+    """
+    results = {load.request_class: ClassResult() for load in loads}
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        start = time.monotonic() + 0.1
+        senders = [
+            send_class(
+                load=load,
+                result=results[load.request_class],
+                session=session,
+                pick_entry=pick_entry,
+                start=start,
+                duration_s=duration_s,
+                seed=seed + number,
+            )
+            for number, load in enumerate(loads)
+        ]
+        await asyncio.gather(*senders)
+    return results
+
+
+async def send_class(
+    load: ClassLoad,
+    result: ClassResult,
+    session: aiohttp.ClientSession,
+    pick_entry: Callable[[], str | None],
+    start: float,
+    duration_s: float,
+    seed: int,
+) -> None:
+    """Send one class's queries at their intended times and wait for all answers."""
+    tasks: set[asyncio.Task[None]] = set()
+    offsets = arrival_times(load.rate_per_s, duration_s, seed)
+    for number, offset in enumerate(offsets):
+        delay = start + offset - time.monotonic()
+        if delay > 0:
+            await asyncio.sleep(delay)
+        task = asyncio.create_task(
+            send_query(load, result, session, pick_entry(), start + offset, int(offset), number)
+        )
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    if tasks:
+        await asyncio.wait(tasks, timeout=load.deadline_ms / 1000 + GRACE_S)
+
+
+async def send_query(
+    load: ClassLoad,
+    result: ClassResult,
+    session: aiohttp.ClientSession,
+    entry_url: str | None,
+    intended: float,
+    second: int,
+    number: int,
+) -> None:
+    """Send one query and record what came back."""
+    result.sent += 1
+    result.sent_by_second[second] = result.sent_by_second.get(second, 0) + 1
+    if entry_url is None:
+        count_error(result, "no_entry_ready")
+        return
+    query = f"{load.request_class}-{number}"
+    body = {
+        "class": load.request_class,
+        "tenant": load.tenant,
+        "query": query,
+        "deadline_ms": load.deadline_ms,
+    }
+    timeout = aiohttp.ClientTimeout(total=load.deadline_ms / 1000 + GRACE_S)
+    try:
+        async with session.post(f"{entry_url}/v1/query", json=body, timeout=timeout) as response:
+            answer = await response.json()
+            status = response.status
+    except (TimeoutError, aiohttp.ClientError) as error:
+        count_error(result, type(error).__name__)
+        return
+    elapsed_us = int((time.monotonic() - intended) * US_PER_S)
+    if status != 200:
+        result.refusal_histogram.record_value(clamp_us(elapsed_us))
+        count_error(result, answer.get("code", str(status)))
+        return
+    result.histogram.record_value(clamp_us(elapsed_us))
+    record_answer(result, answer, query, second, elapsed_us <= load.deadline_ms * 1000)
+
+
+def record_answer(
+    result: ClassResult,
+    answer: dict,
+    query: str,
+    second: int,
+    in_time: bool,
+) -> None:
+    """Check an answer against its own parts and record its coverage."""
+    result.answered += 1
+    result.coverage_sum += answer["coverage"]
+    if not is_correct(answer, query):
+        result.wrong += 1
+        return
+    if answer["coverage"] == 1:
+        result.whole += 1
+        if in_time:
+            result.whole_in_time += 1
+            result.whole_by_second[second] = result.whole_by_second.get(second, 0) + 1
+
+
+def is_correct(answer: dict, query: str) -> bool:
+    """Tell whether all parts belong to this query and to the answer's snapshot."""
+    number = int(answer["snapshot"].lstrip("s"))
+    return all(
+        part["echo"] == query
+        and part["snapshot"] == answer["snapshot"]
+        and part["count"] == (part["high"] - part["low"]) * number
+        for part in answer["parts"]
+    )
+
+
+def count_error(result: ClassResult, code: str) -> None:
+    """Count a query that got no answer, by code."""
+    result.errors_by_code[code] = result.errors_by_code.get(code, 0) + 1
+
+
+def clamp_us(microseconds: int) -> int:
+    """Bring a latency into the histogram's range."""
+    return min(max(microseconds, LOWEST_US), HIGHEST_US)
