--- /dev/null
+++ b/bench/experiment.py
@@ -0,0 +1,224 @@
+"""Experiments over real processes: each runs the same load against the tier and its baseline."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+from flamingostack.generated import messages_pb2 as pb
+from standins.deployments import Deployment
+from standins.launcher import Cluster
+
+from .load import ClassLoad, ClassResult, run_load
+
+TIER = "tier"
+BASELINE = "baseline"
+WARM_UP_S = 4.0
+WARM_UP_SEED = 10_000
+STRAGGLERS = {"straggler_one_in": 100, "straggler_factor": 20.0}
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Scenario:
+    """One load and fault pattern for one service of a deployment.
+
+    `load_percent` is the share of the service's slot capacity, in queries over all its groups.
+    """
+
+    __slots__ = ("name", "load_percent", "duration_s", "searchers", "moves_domain")
+
+    def __init__(
+        self,
+        name: str,
+        load_percent: float,
+        duration_s: float,
+        searchers: dict[str, Any] | None = None,
+        moves_domain: bool = False,
+    ) -> None:
+        self.name = name
+        self.load_percent = load_percent
+        self.duration_s = duration_s
+        self.searchers = searchers or {}
+        self.moves_domain = moves_domain
+
+
+class Subject:
+    """A deployment, and the service and classes that are measured in it."""
+
+    __slots__ = ("deployment", "service", "classes")
+
+    def __init__(self, deployment: Deployment, service: str, classes: dict[str, float]) -> None:
+        self.deployment = deployment
+        self.service = service
+        self.classes = classes
+
+
+def make_scenarios(duration_s: float) -> list[Scenario]:
+    """Return the scenarios of issue 5, each for `duration_s` seconds of load."""
+    return [
+        Scenario("stragglers", 40, duration_s, searchers=STRAGGLERS),
+        Scenario("load-70", 70, duration_s),
+        Scenario("load-100", 100, duration_s),
+        Scenario("load-150", 150, duration_s),
+        Scenario("domain-move", 45, max(duration_s, 18.0), moves_domain=True),
+    ]
+
+
+def baseline_settings(subject: Subject) -> dict[str, dict[str, Any]]:
+    """Return the settings of direct sending with fixed shares and random replicas."""
+    share = max(100 // subject.deployment.instances, 1)
+    return {"dispatch": {"direct_share_percent": share}, "entry": {"baseline": True}}
+
+
+def make_loads(subject: Subject, preset: dict[str, Any], load_percent: float) -> list[ClassLoad]:
+    """Return the arrivals of the subject's classes at a share of its capacity."""
+    capacity = subject.deployment.service(subject.service).capacity_per_s()
+    return [
+        ClassLoad(
+            request_class=request_class,
+            tenant=subject.deployment.name,
+            rate_per_s=capacity * load_percent / 100 * share,
+            deadline_ms=preset["classes"][request_class]["deadline_ms"],
+        )
+        for request_class, share in subject.classes.items()
+    ]
+
+
+async def run_scenario(
+    subject: Subject,
+    scenario: Scenario,
+    variant: str,
+    preset: dict[str, Any],
+    seed: int,
+    log_dir: Path | None = None,
+) -> dict[str, Any]:
+    """Run one scenario against one variant; return its figures as plain values."""
+    settings = baseline_settings(subject) if variant == BASELINE else {}
+    async with Cluster(
+        subject.deployment,
+        log_dir=log_dir,
+        proxied=["instances"],
+        settings=settings,
+        searchers=scenario.searchers,
+        searcher_processes=3,
+        seed=seed,
+    ) as cluster:
+        loads = make_loads(subject, preset, scenario.load_percent)
+        await wait_balanced(cluster)
+        await warm_up(cluster, loads, seed)
+        await cluster.reset_witness()
+        before = cpu_seconds(cluster)
+        operations = asyncio.create_task(operate(cluster, scenario))
+        started = time.monotonic()
+        results = await run_load(loads, cluster.caller.pick_url, scenario.duration_s, seed)
+        elapsed_s = time.monotonic() - started
+        marks = await operations
+        used = {name: value - before.get(name, 0) for name, value in cpu_seconds(cluster).items()}
+        witness = await cluster.witness()
+    return {
+        "scenario": scenario.name,
+        "variant": variant,
+        "load_percent": scenario.load_percent,
+        "duration_s": scenario.duration_s,
+        "classes": {name: result.summary() for name, result in results.items()},
+        "whole_in_time_per_s": round(
+            sum(result.whole_in_time for result in results.values()) / scenario.duration_s, 1
+        ),
+        "offered_per_s": round(
+            sum(result.sent for result in results.values()) / scenario.duration_s, 1
+        ),
+        "extra_load_percent": extra_load_percent(subject, results, witness),
+        "over_cold_limit": sum(item["over_cold_limit"] for item in witness.values()),
+        "marks_ms": marks,
+        "cores_by_process": cores_by_kind(used, elapsed_s),
+        "whole_by_second": whole_by_second(results),
+    }
+
+
+async def wait_balanced(cluster: Cluster) -> None:
+    """Wait until every instance holds partitions and the claims have settled."""
+    names = list(cluster.instances)
+    deadline = time.monotonic() + 30
+    while time.monotonic() < deadline:
+        status = await cluster.status(names[0])
+        holders = [item.holder.instance for item in status.partitions]
+        if len(set(holders)) == len(names):
+            return
+        await asyncio.sleep(0.2)
+
+
+async def warm_up(cluster: Cluster, loads: list[ClassLoad], seed: int) -> None:
+    """Bring all targets from cold to warm at a third of the load, which is not counted."""
+    gentle = [
+        ClassLoad(
+            request_class=load.request_class,
+            tenant=load.tenant,
+            rate_per_s=load.rate_per_s / 3,
+            deadline_ms=load.deadline_ms,
+        )
+        for load in loads
+    ]
+    await run_load(gentle, cluster.caller.pick_url, WARM_UP_S, seed + WARM_UP_SEED)
+
+
+async def operate(cluster: Cluster, scenario: Scenario) -> dict[str, int]:
+    """Take a failure domain out and bring it back cold, if the scenario asks for it."""
+    if not scenario.moves_domain:
+        return {}
+    domain = cluster.deployment.failure_domains[-1]
+    await asyncio.sleep(scenario.duration_s / 6)
+    left = await cluster.mark(pb.MARK_STATE_LEAVING, failure_domain=domain)
+    await asyncio.sleep(scenario.duration_s / 4)
+    targets = cluster.targets(failure_domain=domain)
+    await cluster.searcher_fault(targets, "cold", close=True)
+    returned = await cluster.mark(pb.MARK_STATE_RETURNING, failure_domain=domain)
+    return {"leaving": left.elapsed_ms, "returning": returned.elapsed_ms}
+
+
+def extra_load_percent(
+    subject: Subject,
+    results: dict[str, ClassResult],
+    witness: dict[str, dict[str, Any]],
+) -> float:
+    """Return what targets received beyond one sub-request for each group, in percent.
+
+    It is exact where no query was refused or cut short; under overload refused queries count as
+    planned, so the figure is then a lower bound.
+    """
+    groups = subject.deployment.service(subject.service).groups
+    planned = groups * sum(result.sent for result in results.values())
+    received = sum(item["received"] for item in witness.values())
+    return round(100 * (received / max(planned, 1) - 1), 2)
+
+
+def whole_by_second(results: dict[str, ClassResult]) -> list[float]:
+    """Return the share of queries answered whole and in time, by second of arrival."""
+    seconds = sorted({second for result in results.values() for second in result.sent_by_second})
+    shares = []
+    for second in seconds:
+        sent = sum(result.sent_by_second.get(second, 0) for result in results.values())
+        whole = sum(result.whole_by_second.get(second, 0) for result in results.values())
+        shares.append(round(100 * whole / sent, 2))
+    return shares
+
+
+def cpu_seconds(cluster: Cluster) -> dict[str, float]:
+    """Return the processor time of each running process of the cluster, by name."""
+    used = {}
+    for process in cluster.processes:
+        if process.is_running():
+            fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+            used[process.name] = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    return used
+
+
+def cores_by_kind(used: dict[str, float], elapsed_s: float) -> dict[str, float]:
+    """Return the highest share of a core by kind of process, such as entry or searchers."""
+    highest: dict[str, float] = {}
+    for name, seconds in used.items():
+        kind = name.rsplit(".", 1)[-1].split("-")[0]
+        highest[kind] = max(highest.get(kind, 0.0), round(seconds / elapsed_s, 3))
+    return highest
--- a/bench/load.py
+++ b/bench/load.py
@@ -51,6 +51,7 @@
         "errors_by_code",
         "whole_by_second",
         "sent_by_second",
+        "send_lag",
     )
 
     def __init__(self) -> None:
@@ -65,6 +66,7 @@
         self.errors_by_code: dict[str, int] = {}
         self.whole_by_second: dict[int, int] = {}
         self.sent_by_second: dict[int, int] = {}
+        self.send_lag = make_histogram()
 
     def percentile_ms(self, quantile: float) -> float:
         """Return a percentile of the answered queries' latency in milliseconds."""
@@ -87,6 +89,7 @@
             "whole_in_time_percent": round(100 * self.whole_in_time / sent, 3),
             "lowest_second_percent": round(self.lowest_second_percent(), 2),
             "wrong": self.wrong,
+            "send_lag_p99_ms": round(self.send_lag.get_value_at_percentile(99) / 1000, 2),
             "errors": dict(sorted(self.errors_by_code.items())),
         }
 
@@ -182,6 +185,7 @@
 ) -> None:
     """Send one query and record what came back."""
     result.sent += 1
+    result.send_lag.record_value(clamp_us(int((time.monotonic() - intended) * US_PER_S)))
     result.sent_by_second[second] = result.sent_by_second.get(second, 0) + 1
     if entry_url is None:
         count_error(result, "no_entry_ready")
