--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -47,14 +47,14 @@
 ) -> int:
     """Measure the tier beside its baseline.
 
-    Parameters
-    ----------
-    users: dumalagan or assiniboine; both by default.
-    scenarios: stragglers, load-70, load-100, load-150 or domain-move; all by default.
-    variants: tier or baseline; both by default.
-    duration_s: seconds of load for each run.
-    seed: seed of the arrivals, service times and faults.
-    as_json: print one JSON object in place of the tables.
+    Args:
+        users: dumalagan or assiniboine; both by default.
+        scenarios: stragglers, load-70, load-100, load-150 or domain-move; all by default.
+        variants: tier or baseline; both by default.
+        duration_s: seconds of load for each run.
+        seed: seed of the arrivals, service times and faults.
+        as_json: print one JSON object in place of the tables.
+
     """
     rows = asyncio.run(
         run_all(
