Test that connections above a lowered cap are closed

Cause: nothing showed that a preset or index map with a lower cap takes effect on connections that are already open.

Change: one test.

--- a/tests/dispatch/test_target.py
+++ b/tests/dispatch/test_target.py
@@ -177,6 +177,21 @@
                 self.assertEqual((await bench.reply(number)).status, OK)
             self.assertLessEqual(searcher.most_connections, 2)
 
+    async def test_connections_above_a_lowered_cap_are_closed(self):
+        async with serving(cold_limit=4, connections=4) as (bench, searcher):
+            searcher.mode = "wait"
+            numbers = [bench.send() for _ in range(4)]
+            await until(lambda: searcher.running == 4)
+            searcher.go_on.set()
+            for number in numbers:
+                await bench.reply(number)
+            bench.update([make_target(searcher.address, cold_limit=4, connections=2)])
+            for _ in range(4):
+                await bench.ask()
+            await asyncio.sleep(0.02)
+            open_ones = [item for item in searcher.connections if not item.is_closing()]
+            self.assertEqual(len(open_ones), 2)
+
     async def test_priorities_then_deadlines(self):
         async with serving(cold_limit=1) as (bench, searcher):
             searcher.cold = "1"
