--- a/tests/entry/test_parts.py
+++ b/tests/entry/test_parts.py
@@ -7,6 +7,7 @@
 
 from flamingostack.entry.budget import EXTRA_SENDS_CAP, ExtraBudget, RateLimit
 from flamingostack.entry.coverage import coverage_share, missing_intervals
+from flamingostack.entry.fanout import answer_margin
 from flamingostack.entry.latency import MIN_SAMPLES, WINDOW_S, LatencyWindow
 from flamingostack.entry.plan import PinnedMap
 from flamingostack.generated import messages_pb2 as pb
@@ -44,6 +45,16 @@
         self.assertEqual(asked, sorted(set(keys_of(ranges)) & set(range(low, high))))
 
 
+class DeadlineTest(unittest.TestCase):
+    """Guards against an answer that is timed for the deadline or later."""
+
+    @given(st.floats(0.005, 60))
+    def test_answer_is_timed_for_before_the_deadline(self, duration):
+        margin = answer_margin(duration)
+        self.assertGreaterEqual(margin, 0.002)
+        self.assertLessEqual(margin, duration / 2)
+
+
 class BudgetTest(unittest.TestCase):
     """Guards against a retry storm, and a burst saved up in quiet times."""
 
