Keep entry processes, frozen control processes and restarts from blocking ownership

Cause: claims granted to a follower were also recorded for entry processes, which never report them as drained, so no transfer could finish beside a real entry process (the tests followed with a dispatch process only). grpclib cancels the task that uses a broken stream, and replaces cancellations by ProtocolError: a StateFeed ended for good after its control process was frozen, or could not be cancelled. Ruled out: Task.cancelling(), which stays above 0 after grpclib's own cancel.

--- a/flamingostack/control/follow.py
+++ b/flamingostack/control/follow.py
@@ -18,6 +18,8 @@
     __slots__ = (
         "process",
         "is_new",
+        "is_updated",
+        "has_applied",
         "applied_version",
         "granted",
         "drained",
@@ -34,6 +36,9 @@
         self.process = process
         # A process that has applied no state yet has just started.
         self.is_new = False
+        # An update was sent; a report came after it.
+        self.is_updated = False
+        self.has_applied = False
         self.applied_version = 0
         self.granted: set[ClaimKey] = set()
         self.drained: set[ClaimKey] = set()
@@ -53,6 +58,7 @@
     def on_report(self, report: pb.FollowReport, now_ns: int) -> None:
         """Record a report; `drained` is the process's whole list."""
         self.heard_ns = now_ns
+        self.has_applied = self.is_updated
         self.applied_version = max(self.applied_version, report.applied_version)
         self.drained = {claim_key(claim) for claim in report.drained}
         self.granted -= self.drained
@@ -78,7 +84,9 @@
             if index.revision > self.index_revisions.get(service, -1):
                 update.indexes.append(index)
                 self.index_revisions[service] = index.revision
-        self.granted.update(claim_key(grant) for grant in update.grants)
+        if self.is_dispatch:
+            self.granted.update(claim_key(grant) for grant in update.grants)
+        self.is_updated = True
         self.lease_sent_ns = max(self.lease_sent_ns, node.lease_until_ns)
         return update
 
@@ -153,10 +161,14 @@
         return min(versions)
 
     def is_dispatch_down(self, now_ns: int) -> bool:
-        """Tell whether no dispatch process has followed for the time of a lease."""
+        """Tell whether no dispatch process serves; one may reconnect for the time of a lease."""
         dispatches = [follower for follower in self.connected if follower.is_dispatch]
-        if dispatches:
-            return all(follower.shutting_down for follower in dispatches)
+        # Before its first update a process may still act on what an earlier control process
+        # granted.
+        if any(item.has_applied and not item.shutting_down for item in dispatches):
+            return False
+        if any(item.shutting_down for item in dispatches):
+            return True
         return not any(
             lost.process.startswith(DISPATCH) and now_ns - lost.lost_ns < self.lease_ns
             for lost in self.lost
--- a/flamingostack/control/keeper.py
+++ b/flamingostack/control/keeper.py
@@ -237,6 +237,9 @@
     def _forget_vanished(self) -> None:
         now_ns = self.controller.now_ns()
         node = self.controller.node
+        if node.own.control_address not in self.addresses:
+            # A list without this live instance proves nothing about others.
+            return
         if now_ns - node.started_ns > VANISHED_NS:
             node.seeds &= self.addresses
         node.forget_members(
--- a/flamingostack/control/peers.py
+++ b/flamingostack/control/peers.py
@@ -14,6 +14,7 @@
 from ..generated import messages_pb2 as pb
 from ..generated.messages_grpc import ControlStub
 from ..settings import is_address, split_address
+from ..tasks import run_isolated
 from .controller import Controller
 from .keeper import Keeper
 
@@ -73,8 +74,7 @@
     async def call(self, send: Callable[[ControlStub], Awaitable[ReplyT]]) -> ReplyT | None:
         """Send one request; None if it failed. A failed connection is replaced."""
         try:
-            async with asyncio.timeout(self._timeout_s):
-                return await send(self._get_stub())
+            return await run_isolated(send(self._get_stub()), self._timeout_s)
         except ConnectionRefusedError:
             self.close()
             self.controller.node.on_refused(self.address, self.controller.now_ns())
--- a/flamingostack/fleet/node.py
+++ b/flamingostack/fleet/node.py
@@ -351,10 +351,9 @@
             ("relay", relay_lease(answers, self.document.version, timing.lease_ns)),
             ("vote", self._vote_lease(answers, now_ns)),
         ]
-        source, until_ns = max(candidates, key=lambda candidate: candidate[1])
-        if until_ns > self.lease_until_ns:
-            self.lease_until_ns = until_ns
-            self.lease_source = source
+        self.lease_until_ns = max(self.lease_until_ns, *(until_ns for _, until_ns in candidates))
+        valid = [source for source, until_ns in candidates if until_ns > now_ns]
+        self.lease_source = valid[0] if valid else "none"
 
     def _vote_lease(self, answers: list[PeerAnswer], now_ns: int) -> int:
         contact_ns = self.store_contact_ns
--- a/flamingostack/state.py
+++ b/flamingostack/state.py
@@ -18,6 +18,7 @@
 from .generated.preset import Preset
 from .presets import parse_preset
 from .settings import split_address
+from .tasks import run_isolated
 
 PROTOCOL = 1
 RECONNECT_S = 0.1
@@ -143,7 +144,7 @@
         """Follow the control process until cancelled; reconnect after each break."""
         while True:
             try:
-                await self._follow()
+                await run_isolated(self._follow())
             except CONNECTION_ERRORS as error:
                 self.environment.log.warning("control_connection_lost", reason=repr(error))
             await asyncio.sleep(RECONNECT_S)
