Tell fleets apart by an id drawn with the document

Cause: a control process answered and followed whoever knew its address. After an address is reused, members of another fleet became members, and a document of theirs with a higher version would have been adopted. Ruled out: comparing the failure domains, which fleets may share. Change: additive fields FleetDocument.fleet, SyncRequest.fleet and SyncReply.fleet; Sync, Transfer and documents of another fleet are refused.

--- a/flamingostack/control/keeper.py
+++ b/flamingostack/control/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 from collections.abc import Awaitable, Callable
 
 from google.protobuf.message import DecodeError
@@ -119,6 +120,8 @@
             return
         node.store_version = item.version
         document = decode_document(item.value)
+        if not isinstance(document, str) and node.is_foreign(document.fleet):
+            document = f"it belongs to fleet {document.fleet}"
         if isinstance(document, str):
             self.seen_version = 0
             log.error("document_unusable", store_version=item.version, reason=document)
@@ -150,6 +153,7 @@
             partition_count=fleet.partition_count,
             voter_count=fleet.voter_count,
             failure_domains=fleet.failure_domains,
+            fleet=uuid.uuid4().hex,
         )
         result = await self.store.create(DOCUMENT_KEY, document.SerializeToString())
         self.controller.environment.log.info(
--- a/flamingostack/control/peers.py
+++ b/flamingostack/control/peers.py
@@ -62,7 +62,7 @@
         claims_revision = node.claims_revision
         sent_ns = self.controller.now_ns()
         reply = await self.call(lambda stub: stub.Sync(request))
-        if reply is None or reply.protocol != PROTOCOL:
+        if reply is None or reply.protocol != PROTOCOL or node.is_foreign(reply.fleet):
             return
         self.incarnation = reply.responder.incarnation
         node.on_sync_reply(reply, sent_ns, claims_revision, self.controller.now_ns())
--- a/flamingostack/control/service.py
+++ b/flamingostack/control/service.py
@@ -29,6 +29,8 @@
     async def Sync(self, stream: Stream[pb.SyncRequest, pb.SyncReply]) -> None:  # noqa: N802
         """Answer a peer."""
         request = await receive(stream)
+        if self.controller.node.is_foreign(request.fleet):
+            raise GRPCError(Status.FAILED_PRECONDITION, "the sender belongs to another fleet")
         reply = self.controller.node.on_sync_request(request, self.controller.now_ns())
         self.controller.changed()
         await stream.send_message(reply)
--- a/flamingostack/fleet/document.py
+++ b/flamingostack/fleet/document.py
@@ -27,6 +27,7 @@
     partition_count: int,
     voter_count: int,
     failure_domains: Sequence[str],
+    fleet: str = "",
 ) -> pb.FleetDocument:
     """Return the first document: one holder of all partitions, and no preset in force."""
     return pb.FleetDocument(
@@ -34,6 +35,7 @@
         partition_count=partition_count,
         voter_count=voter_count,
         failure_domains=failure_domains,
+        fleet=fleet,
         partitions=[
             pb.Partition(number=number, term=1, holder=holder) for number in range(partition_count)
         ],
--- a/flamingostack/fleet/node.py
+++ b/flamingostack/fleet/node.py
@@ -116,8 +116,8 @@
     # ---- Document, claims and indexes ------------------------------------
 
     def adopt_document(self, document: pb.FleetDocument, now_ns: int) -> bool:
-        """Take over a newer document; return whether it was newer."""
-        if document.version <= self.document.version:
+        """Take over a newer document of the same fleet; return whether it was newer."""
+        if document.version <= self.document.version or self.is_foreign(document.fleet):
             return False
         self.document = pb.FleetDocument()
         self.document.CopyFrom(document)
@@ -126,6 +126,10 @@
             self.membership.learn(partition.holder, now_ns)
         return True
 
+    def is_foreign(self, fleet: str) -> bool:
+        """Tell whether a message is from another fleet, which has reused an address."""
+        return bool(fleet and self.document.fleet) and fleet != self.document.fleet
+
     def bootstrap(self, document: pb.FleetDocument, now_ns: int) -> None:
         """Take over the first document, which this process has created."""
         self.adopt_document(document, now_ns)
@@ -202,6 +206,7 @@
             applied_version=self.applied_version,
             known_members=self._known_members(),
             partitions=self._claims_beyond_document(),
+            fleet=self.document.fleet,
         )
         peer = self.membership.peers.get(incarnation)
         if peer is not None and peer.first_hand and peer.version < self.document.version:
@@ -266,6 +271,7 @@
             # Rounded up, so that rounding only shortens the requester's lease.
             store_age_ms=-1 if contact_ns is None else -((contact_ns - now_ns) // NS_PER_MS),
             votes=sorted(self.votes()),
+            fleet=self.document.fleet,
             known_members=self._known_members(),
             partitions=self._claims_beyond_document(),
             silent_members=self.membership.silent_names(now_ns),
@@ -673,6 +679,8 @@
         """
         if request.protocol != PROTOCOL:
             return "protocol"
+        if self.is_foreign(request.document.fleet):
+            return "other_fleet"
         if any(item.holder.incarnation != self.own.incarnation for item in request.partitions):
             return "other_incarnation"
         known = all(not self._is_unknown(partition) for partition in request.partitions)
--- a/tests/control/test_process.py
+++ b/tests/control/test_process.py
@@ -1,7 +1,9 @@
 """Tests of the control process with a fake store."""
 
+import asyncio
+
 from flamingostack.generated import messages_pb2 as pb
-from tests.control.cluster import INDEX, PRESET, ClusterTest, SeparateInstance, until
+from tests.control.cluster import INDEX, PRESET, Cluster, ClusterTest, SeparateInstance, until
 
 
 class BootstrapTest(ClusterTest):
@@ -28,6 +30,22 @@
             self.assertEqual(instance.feed.view.preset.name, "ordinary")
 
 
+class FleetTest(ClusterTest):
+    """Guards against two fleets that mix when one reuses an address of the other."""
+
+    async def test_instances_of_another_fleet_are_no_members(self):
+        await self.start("a1")
+        other = Cluster()
+        self.addAsyncCleanup(other.stop)
+        await other.start("x1")
+        await until(other.is_served)
+        nodes = [self.cluster.instances["a1"].node, other.instances["x1"].node]
+        other.instances["x1"].process.keeper.addresses.add(nodes[0].own.control_address)
+        await asyncio.sleep(0.5)
+        self.assertEqual([node.membership.peers for node in nodes], [{}, {}])
+        self.assertNotEqual(nodes[0].document.fleet, nodes[1].document.fleet)
+
+
 class OperateTest(ClusterTest):
     """Guards against changes that are lost, done twice, or reported wrongly."""
 
