--- a/tests/proofs/mutants.py
+++ b/tests/proofs/mutants.py
@@ -20,8 +20,39 @@
     Target.find_refusal = lambda self, work: ""
 
 
+def remove_pin() -> None:
+    """Let each further sub-request of a query use the newest snapshot."""
+    from flamingostack.entry.fanout import Query
+
+    send_to = Query._send_to
+
+    def send_to_newest(self, *arguments):
+        self.pinned = self.fanout.newest_map(self.pinned.service)
+        send_to(self, *arguments)
+
+    Query._send_to = send_to_newest
+
+
+def count_replies_as_coverage() -> None:
+    """Report the share of the sub-requests that were answered instead of that of the keys."""
+    from flamingostack.entry.fanout import Query
+
+    finish = Query._finish
+
+    def finish_by_replies(self, now):
+        was_done = self.result.done()
+        finish(self, now)
+        if not was_done:
+            answered = sum(bool(part.answer) for part in self.parts)
+            self.result.result().coverage = answered / len(self.parts)
+
+    Query._finish = finish_by_replies
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "no-fence": remove_fence,
+    "no-pin": remove_pin,
+    "coverage-by-replies": count_replies_as_coverage,
 }
 
 
