Do not wait for entry processes before a partition is transferred

Cause: the control process recorded grants as given to every follower, also to entry processes, which never report a drained claim. A partition whose grant an entry process had seen stayed in 'giving' for ever: the first instance of a new fleet kept all 24 partitions and refused 16 of them as not_owner. Ruled out: ports shared by two clusters, and grants that dispatch did not give back (it had reported them as drained). Change: only claims sent to a dispatch process count as granted.

--- a/flamingostack/control/follow.py
+++ b/flamingostack/control/follow.py
@@ -75,7 +75,9 @@
             if index.revision > self.index_revisions.get(service, -1):
                 update.indexes.append(index)
                 self.index_revisions[service] = index.revision
-        self.granted.update(claim_key(grant) for grant in update.grants)
+        # An entry process sees the grants too, but sends nothing and reports no drained claims.
+        if self.is_dispatch:
+            self.granted.update(claim_key(grant) for grant in update.grants)
         self.lease_sent_ns = max(self.lease_sent_ns, node.lease_until_ns)
         return update
 
--- a/tests/control/test_ownership.py
+++ b/tests/control/test_ownership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from flamingostack.state import StateFeed
 from tests.control.cluster import INDEX, ClusterTest, SeparateInstance, until
 
 
@@ -92,3 +93,14 @@
         instance.keeps_undrained = False
         instance.report_undrained()
         await until(lambda: self.is_balanced(("a1", "b1")))
+
+    async def test_entry_process_does_not_hold_up_a_transfer(self):
+        """Guards against waiting for a drained report of a process that never sends."""
+        await self.start("a1")
+        instance = self.cluster.instances["a1"]
+        feed = StateFeed(instance.environment, "entry-0")
+        following = asyncio.create_task(feed.run())
+        self.addCleanup(following.cancel)
+        await until(lambda: len(feed.view.grants_by_partition) == 12)
+        self.cluster.add("b1")
+        await until(lambda: self.is_balanced(("a1", "b1")))
