--- a/tests/proofs/mutants.py
+++ b/tests/proofs/mutants.py
@@ -49,10 +49,39 @@
     Query._finish = finish_by_replies
 
 
+def match_replies_by_order() -> None:
+    """Give each reply to the sub-request that has waited longest on its link."""
+    from flamingostack.entry.link import Link
+
+    async def read(self, stream):
+        async for batch in stream:
+            for reply in batch.replies:
+                if self.attempts_by_id:
+                    attempt = self.attempts_by_id.pop(next(iter(self.attempts_by_id)))
+                    self._deliver(attempt, reply, self._loop.time())
+
+    Link._read = read
+
+
+def remove_deadline() -> None:
+    """Let a query wait for all its parts, however long they take."""
+    from flamingostack.entry.fanout import Query
+
+    initialise = Query.__init__
+
+    def initialise_without_deadline(self, *arguments):
+        initialise(self, *arguments)
+        self._answer_at += 60
+
+    Query.__init__ = initialise_without_deadline
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "no-fence": remove_fence,
     "no-pin": remove_pin,
     "coverage-by-replies": count_replies_as_coverage,
+    "replies-by-order": match_replies_by_order,
+    "no-deadline": remove_deadline,
 }
 
 
