--- a/tests/proofs/mutants.py
+++ b/tests/proofs/mutants.py
@@ -76,12 +76,46 @@
     Query.__init__ = initialise_without_deadline
 
 
+def ignore_marks() -> None:
+    """Treat no target as leaving."""
+    from flamingostack.state import FleetView
+
+    FleetView.is_leaving = lambda self, target: False
+
+
+def extend_lease_for_ever() -> None:
+    """Let entry and dispatch act on the newest state that they have, without a lease."""
+    from flamingostack.state import StateFeed
+
+    apply = StateFeed.apply
+
+    def apply_with_endless_lease(self, update):
+        if update.lease_until_ns:
+            update.lease_until_ns = 2**62
+        apply(self, update)
+
+    StateFeed.apply = apply_with_endless_lease
+
+
+def stay_warm() -> None:
+    """Give every target its warm limit at once and for ever."""
+    from flamingostack.dispatch.limit import Limit
+
+    def update(self):
+        self.current = self.sizes.warm_limit
+
+    Limit._update = update
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "no-fence": remove_fence,
     "no-pin": remove_pin,
     "coverage-by-replies": count_replies_as_coverage,
     "replies-by-order": match_replies_by_order,
     "no-deadline": remove_deadline,
+    "no-marks": ignore_marks,
+    "endless-lease": extend_lease_for_ever,
+    "stay-warm": stay_warm,
 }
 
 
