Prove that an accepted preset takes effect everywhere and stays

Cause: invariant 10 had no proof with real processes. A check of mine counted answers that were given before the change was accepted while only control was frozen; it now counts those that ended after the acceptance.

--- a/tests/proofs/mutants.py
+++ b/tests/proofs/mutants.py
@@ -107,6 +107,39 @@
     Limit._update = update
 
 
+def ignore_document_of_peers() -> None:
+    """Learn the document from the store only."""
+    from flamingostack.fleet.node import Node
+
+    learn_message = Node._learn_message
+    on_transfer_request = Node.on_transfer_request
+
+    def learn_without_document(self, message, now_ns):
+        message.ClearField("document")
+        learn_message(self, message, now_ns)
+
+    def on_transfer_without_document(self, request, now_ns):
+        request.ClearField("document")
+        return on_transfer_request(self, request, now_ns)
+
+    Node._learn_message = learn_without_document
+    Node.on_transfer_request = on_transfer_without_document
+
+
+def ignore_expected_version() -> None:
+    """Let the loser of a race overwrite the change that won."""
+    from flamingostack.control import operations
+
+    operations.find_winner = lambda document, expected_version: None
+
+
+def ignore_change_ids() -> None:
+    """Take a repeated change for a new one."""
+    from flamingostack.control import operations
+
+    operations.find_change = lambda document, change_id: None
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "no-fence": remove_fence,
     "no-pin": remove_pin,
@@ -116,6 +149,9 @@
     "no-marks": ignore_marks,
     "endless-lease": extend_lease_for_ever,
     "stay-warm": stay_warm,
+    "no-peer-document": ignore_document_of_peers,
+    "no-expected-version": ignore_expected_version,
+    "no-change-ids": ignore_change_ids,
 }
 
 
--- a/tests/proofs/support.py
+++ b/tests/proofs/support.py
@@ -13,6 +13,7 @@
 from standins.deployments import DUMALAGAN
 from standins.launcher import Answer, Cluster, find_wrong
 
+NS_PER_MS = 1_000_000
 NS_PER_S = 1_000_000_000
 KEYSPACE = 30_000
 SERVICE = "enquiry"
@@ -48,6 +49,11 @@
         self.sent_ns = sent_ns
         self.answer = answer
 
+    @property
+    def ended_ns(self) -> int:
+        """When the answer arrived."""
+        return self.sent_ns + int(self.answer.elapsed_ms * NS_PER_MS)
+
     @property
     def is_whole(self) -> bool:
         """Tell whether every part of the keyspace was answered."""
