--- a/tests/proofs/support.py
+++ b/tests/proofs/support.py
@@ -196,6 +196,10 @@
 class ProofCase(unittest.IsolatedAsyncioTestCase):
     """Starts clusters, optionally with a mechanism switched off."""
 
+    async def asyncSetUp(self) -> None:
+        """Leave out asyncio's debug mode, which slows the callers down."""
+        asyncio.get_running_loop().set_debug(False)
+
     async def start(self, mutant: str = "", **options: Any) -> Cluster:
         """Return a ready cluster that ends with the test."""
         if mutant:
