--- a/flamingostack/entry/server.py
+++ b/flamingostack/entry/server.py
@@ -17,6 +17,7 @@
 from .explain import Trace, Traces
 from .fanout import Fanout, QueryPlan, QueryResult, answer_margin
 from .once import Once, OnceAnswer, StoreClient, make_body_hash, make_record_key
+from .overload import OverloadLimit
 from .plan import PinnedMap, check_range
 from .refusals import RAN, EntryReason
 from .requests import (
@@ -143,15 +144,32 @@
         interval = check_range(admission.pinned, asked.low, asked.high)
         if isinstance(interval, Failure):
             return self._refuse(interval, request_id, asked.request_class)
-        if not admission.pinned.split(*interval):
-            failure = make_failure(EntryReason.UNKNOWN_RANGE, "no target serves the range")
+        problem = self._check_mapped(asked, admission, interval)
+        if problem is not None:
+            return self._refuse(problem, request_id, asked.request_class)
+        overload = self.fanout.overload_of(admission.pinned.service)
+        if not self._may_enter(overload, admission.policy):
+            failure = make_failure(EntryReason.OVERLOADED, "the service's targets are full")
             return self._refuse(failure, request_id, asked.request_class)
         self.shutdown.begin()
+        lost_to_overload = False
         try:
-            return await self._run_query(asked, admission, interval, request_id, started)
+            result, response = await self._run_query(
+                asked, admission, interval, request_id, started
+            )
+            lost_to_overload = result.lost_to_overload
+            return response
         finally:
+            overload.leave(lost_to_overload, self._loop.time())
             self.shutdown.end()
 
+    def _may_enter(self, overload: OverloadLimit, policy: ClassPolicy) -> bool:
+        """Count a query in; the baseline has no limit."""
+        if self.fanout.is_baseline:
+            overload.in_flight += 1
+            return True
+        return overload.try_enter(policy.priority, self._loop.time())
+
     async def _run_query(
         self,
         asked: QueryRequest,
@@ -159,11 +177,8 @@
         interval: tuple[int, int],
         request_id: str,
         started: float,
-    ) -> web.Response:
+    ) -> tuple[QueryResult, web.Response]:
         trace = self._make_trace(asked, admission, request_id, started)
-        min_coverage = asked.min_coverage
-        if min_coverage is None:
-            min_coverage = admission.policy.min_coverage
         plan = QueryPlan(
             request_id=request_id,
             request_class=asked.request_class,
@@ -173,15 +188,15 @@
             low=asked.low,
             high=asked.high,
             deadline=admission.deadline,
-            min_coverage=min_coverage,
+            min_coverage=find_min_coverage(asked, admission),
         )
         result = await self.fanout.start_query(plan, admission.pinned, interval, trace)
         code = result.reason.code if result.reason else "ok"
         elapsed = self._end_trace(trace, code, "flamingostack_query_seconds")
         if result.reason is not None:
             failure = make_failure(result.reason, result.message)
-            return self._refuse(failure, request_id, asked.request_class)
-        return self._answer_query(result, admission, request_id, elapsed)
+            return result, self._refuse(failure, request_id, asked.request_class)
+        return result, self._answer_query(result, admission, request_id, elapsed)
 
     def _answer_query(
         self,
@@ -361,6 +376,26 @@
     def _max_request_ms(self) -> int:
         return self.environment.settings.fleet.max_request_ms
 
+    def _check_mapped(
+        self,
+        asked: QueryRequest,
+        admission: Admission,
+        interval: tuple[int, int],
+    ) -> Failure[EntryReason] | None:
+        """Return why no answer can have the coverage asked for, before anything is sent."""
+        low, high = interval
+        parts = admission.pinned.split(low, high)
+        min_coverage = find_min_coverage(asked, admission)
+        if parts and not min_coverage:
+            return None
+        mapped = sum(end - start for start, end, _ in parts) / (high - low)
+        if mapped and mapped >= min_coverage:
+            return None
+        return make_failure(
+            EntryReason.UNKNOWN_RANGE,
+            f"snapshot {admission.pinned.snapshot} maps {mapped:.6g} of the range",
+        )
+
     # ---- Answers, traces, metrics ----------------------------------------
 
     def _next_id(self) -> str:
@@ -452,3 +487,10 @@
             grown = max(value - self._counted.get(name, 0), 0)
             self._counted[name] = value
             self.metrics.count(f"flamingostack_sub_request_{name}_total", grown)
+
+
+def find_min_coverage(asked: QueryRequest, admission: Admission) -> float:
+    """Return the caller's lowest coverage, or the class's if the caller gives none."""
+    if asked.min_coverage is None:
+        return admission.policy.min_coverage
+    return asked.min_coverage
