Show who holds partitions where a cluster of the proofs does not get balanced

Cause: two starts of about 150 timed out with no trace, at a load of 25 on 10 cores. Change: the error names the holders by each instance's view.

--- a/tests/proofs/support.py
+++ b/tests/proofs/support.py
@@ -180,17 +180,22 @@
 
 async def until_balanced(cluster: Cluster) -> None:
     """Wait until every instance holds its share of the partitions by every instance's view."""
+    held_by_view: dict[str, dict[str, int]] = {}
 
     async def is_balanced() -> bool:
         for instance in cluster.instances:
             status = await cluster.status(instance)
-            held = [item.holder.instance for item in status.partitions]
-            counts = {held.count(name) for name in cluster.instances}
-            if not held or max(counts) - min(counts) > 1:
-                return False
-        return True
-
-    await until(is_balanced, "balanced partitions")
+            holders = [item.holder.instance for item in status.partitions]
+            held_by_view[instance] = {name: holders.count(name) for name in cluster.instances}
+        return all(
+            sum(held.values()) and max(held.values()) - min(held.values()) <= 1
+            for held in held_by_view.values()
+        )
+
+    try:
+        await until(is_balanced, "balanced partitions")
+    except AssertionError as error:
+        raise AssertionError(f"{error}; held by view: {held_by_view}") from error
 
 
 class ProofCase(unittest.IsolatedAsyncioTestCase):
