--- a/tests/proofs/mutants.py
+++ b/tests/proofs/mutants.py
@@ -20,8 +20,138 @@
     Target.find_refusal = lambda self, work: ""
 
 
+def remove_pin() -> None:
+    """Let each further sub-request of a query use the newest snapshot."""
+    from flamingostack.entry.fanout import Query
+
+    send_to = Query._send_to
+
+    def send_to_newest(self, *arguments):
+        self.pinned = self.fanout.newest_map(self.pinned.service)
+        send_to(self, *arguments)
+
+    Query._send_to = send_to_newest
+
+
+def count_replies_as_coverage() -> None:
+    """Report the share of the sub-requests that were answered instead of that of the keys."""
+    from flamingostack.entry.fanout import Query
+
+    finish = Query._finish
+
+    def finish_by_replies(self, now):
+        was_done = self.result.done()
+        finish(self, now)
+        if not was_done:
+            answered = sum(bool(part.answer) for part in self.parts)
+            self.result.result().coverage = answered / len(self.parts)
+
+    Query._finish = finish_by_replies
+
+
+def match_replies_by_order() -> None:
+    """Give each reply to the sub-request that has waited longest on its link."""
+    from flamingostack.entry.link import Link
+
+    async def read(self, stream):
+        async for batch in stream:
+            for reply in batch.replies:
+                if self.attempts_by_id:
+                    attempt = self.attempts_by_id.pop(next(iter(self.attempts_by_id)))
+                    self._deliver(attempt, reply, self._loop.time())
+
+    Link._read = read
+
+
+def remove_deadline() -> None:
+    """Let a query wait for all its parts, however long they take."""
+    from flamingostack.entry.fanout import Query
+
+    initialise = Query.__init__
+
+    def initialise_without_deadline(self, *arguments):
+        initialise(self, *arguments)
+        self._answer_at += 60
+
+    Query.__init__ = initialise_without_deadline
+
+
+def ignore_marks() -> None:
+    """Treat no target as leaving."""
+    from flamingostack.state import FleetView
+
+    FleetView.is_leaving = lambda self, target: False
+
+
+def extend_lease_for_ever() -> None:
+    """Let entry and dispatch act on the newest state that they have, without a lease."""
+    from flamingostack.state import StateFeed
+
+    apply = StateFeed.apply
+
+    def apply_with_endless_lease(self, update):
+        if update.lease_until_ns:
+            update.lease_until_ns = 2**62
+        apply(self, update)
+
+    StateFeed.apply = apply_with_endless_lease
+
+
+def stay_warm() -> None:
+    """Give every target its warm limit at once and for ever."""
+    from flamingostack.dispatch.limit import Limit
+
+    def update(self):
+        self.current = self.sizes.warm_limit
+
+    Limit._update = update
+
+
+def ignore_document_of_peers() -> None:
+    """Learn the document from the store only."""
+    from flamingostack.fleet.node import Node
+
+    learn_message = Node._learn_message
+    on_transfer_request = Node.on_transfer_request
+
+    def learn_without_document(self, message, now_ns):
+        message.ClearField("document")
+        learn_message(self, message, now_ns)
+
+    def on_transfer_without_document(self, request, now_ns):
+        request.ClearField("document")
+        return on_transfer_request(self, request, now_ns)
+
+    Node._learn_message = learn_without_document
+    Node.on_transfer_request = on_transfer_without_document
+
+
+def ignore_expected_version() -> None:
+    """Let the loser of a race overwrite the change that won."""
+    from flamingostack.control import operations
+
+    operations.find_winner = lambda document, expected_version: None
+
+
+def ignore_change_ids() -> None:
+    """Take a repeated change for a new one."""
+    from flamingostack.control import operations
+
+    operations.find_change = lambda document, change_id: None
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "no-fence": remove_fence,
+    "no-pin": remove_pin,
+    "coverage-by-replies": count_replies_as_coverage,
+    "replies-by-order": match_replies_by_order,
+    "no-deadline": remove_deadline,
+    "no-marks": ignore_marks,
+    "endless-lease": extend_lease_for_ever,
+    "stay-warm": stay_warm,
+    "no-peer-document": ignore_document_of_peers,
+    "no-expected-version": ignore_expected_version,
+    "no-change-ids": ignore_change_ids,
 }
 
 
