Send the load of the experiments from four processes

Cause: at 447 queries/s one process sent them up to 0.3 s late (send lag p99), so that the latencies measured the sender. Change: each worker sends an equal share of the same seeded arrivals, started at one moment, and the histograms are merged.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -13,6 +13,7 @@
 from standins.launcher import Cluster
 
 from .load import ClassLoad, ClassResult, run_load
+from .workers import run_from_workers
 
 TIER = "tier"
 BASELINE = "baseline"
@@ -108,12 +109,13 @@
     ) as cluster:
         loads = make_loads(subject, preset, scenario.load_percent)
         await wait_balanced(cluster)
+        urls = [cluster.caller_url(name) for name in cluster.instances]
         await warm_up(cluster, loads, seed)
         await cluster.reset_witness()
         before = cpu_seconds(cluster)
         operations = asyncio.create_task(operate(cluster, scenario))
         started = time.monotonic()
-        results = await run_load(loads, cluster.caller.pick_url, scenario.duration_s, seed)
+        results = await run_from_workers(loads, urls, scenario.duration_s, seed)
         elapsed_s = time.monotonic() - started
         marks = await operations
         used = {name: value - before.get(name, 0) for name, value in cpu_seconds(cluster).items()}
--- a/bench/load.py
+++ b/bench/load.py
@@ -16,6 +16,7 @@
 US_PER_S = 1_000_000
 # Time after the last arrival in which answers are still awaited, over the class's deadline.
 GRACE_S = 2.0
+HISTOGRAMS = ("histogram", "refusal_histogram", "send_lag")
 
 
 class ClassLoad:
@@ -68,6 +69,29 @@
         self.sent_by_second: dict[int, int] = {}
         self.send_lag = make_histogram()
 
+    def __getstate__(self) -> dict[str, object]:
+        """Return the values for another process, histograms in their own encoding."""
+        return {
+            name: getattr(self, name).encode() if name in HISTOGRAMS else getattr(self, name)
+            for name in self.__slots__
+        }
+
+    def __setstate__(self, state: dict[str, object]) -> None:
+        """Take over the values from another process."""
+        for name, value in state.items():
+            setattr(self, name, HdrHistogram.decode(value) if name in HISTOGRAMS else value)
+
+    def add(self, other: ClassResult) -> None:
+        """Add what callers of another process saw."""
+        for name in HISTOGRAMS:
+            getattr(self, name).add(getattr(other, name))
+        for name in ("sent", "answered", "whole", "whole_in_time", "coverage_sum", "wrong"):
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+        for name in ("errors_by_code", "whole_by_second", "sent_by_second"):
+            counts = getattr(self, name)
+            for key, count in getattr(other, name).items():
+                counts[key] = counts.get(key, 0) + count
+
     def percentile_ms(self, quantile: float) -> float:
         """Return a percentile of the answered queries' latency in milliseconds."""
         return self.histogram.get_value_at_percentile(quantile) / 1000
