Bound the time that work waits in a target's queue

Cause: work of a later class that was accepted with a short expected wait was overtaken by work of earlier classes and waited until its deadline: at 150% of capacity the median of enquiry was 1,189 ms of a deadline of 1,200 ms, and its entry process learnt of the overload too late. Change: work that has waited for max_queue_ms is refused as queue_full and may be tried elsewhere.

--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -336,13 +336,21 @@
         if refusal:
             self._reply(work, NOT_RUN, refusal)
             return
-        remaining_s = (work.deadline_ns - self._now_ns()) / NS_PER_S
-        work.timer = self._loop.call_later(remaining_s, self._expire, work)
         if self._has_room() and not self.queue.length:
+            self._set_timer(work, work.deadline_ns)
             self._start(work)
         else:
+            # Work of earlier priorities that arrives later can make the wait longer than expected.
+            max_queue_ns = work.policy.max_queue_ms * NS_PER_MS
+            self._set_timer(work, min(work.deadline_ns, work.accepted_ns + max_queue_ns))
             self.queue.push(work)
 
+    def _set_timer(self, work: Work, at_ns: int) -> None:
+        if work.timer is not None:
+            work.timer.cancel()
+        delay_s = (at_ns - self._now_ns()) / NS_PER_S
+        work.timer = self._loop.call_later(delay_s, self._expire, work)
+
     def _has_room(self) -> bool:
         return self.in_flight < self.limit.current and self.connections.available > 0
 
@@ -383,12 +391,14 @@
             if refusal:
                 self._reply(work, NOT_RUN, refusal)
             else:
+                self._set_timer(work, work.deadline_ns)
                 self._start(work)
 
     def _expire(self, work: Work) -> None:
         if work.state is WorkState.QUEUED:
             self.queue.forget(work)
-            self._reply(work, NOT_RUN, "deadline")
+            is_over = self._now_ns() >= work.deadline_ns
+            self._reply(work, NOT_RUN, "deadline" if is_over else "queue_full")
         elif work.fence is None or not work.fence.has_begun:
             # The fence refuses a write for work that has its reply.
             self._reply(work, NOT_RUN, "deadline")
