Keep bursts from targets that restarted cold unnoticed

Cause: the limit was checked when a request started, not when its body was written, so a request that waited for a connection was sent although the limit had dropped. And a close of idle connections changed no limit, so the first burst after a restart of an idle target was as large as its slots. Ruled out: turning cold at each lost connection, since aiohttp closes connections that were idle for 15 s, and a connection that went silent is not the target's fault. Change: the fence checks the number of bodies at the target against the present limit and sends what is over it back to the queue; connections that the target closes, or the loss of the last idle one, make the target count as cold.

--- a/flamingostack/dispatch/fence.py
+++ b/flamingostack/dispatch/fence.py
@@ -14,6 +14,7 @@
 
 DEADLINE_HEADER = "Deadline-Ms"
 CONNECTION_CLOSED = "connection_closed"
+OVER_LIMIT = "over_limit"
 FLUSH_POLL_S = 0.002
 
 
@@ -60,6 +61,12 @@
     def find_refusal(self, work: Work) -> str:
         """Return why the work must not be sent now, or an empty string."""
 
+    def has_room_to_send(self) -> bool:
+        """Tell whether one more request may be at the target under the present limit."""
+
+    def count_sent(self) -> None:
+        """Count a request whose body is written."""
+
     def remaining_ms(self, work: Work) -> int:
         """Return the milliseconds to the work's deadline."""
 
@@ -98,11 +105,12 @@
         """Check and write the whole body in one synchronous step; called by aiohttp 3.14."""
         gate = self.guard.gate
         await gate.wait_open()
-        self.refusal = self.guard.find_refusal(self.work) or find_closed(writer)
+        self.refusal = self._find_refusal(writer)
         if self.refusal:
             raise FenceRefusedError(self.refusal)
         gate.close()
         self.has_begun = True
+        self.guard.count_sent()
         try:
             # Without `drain` the call does not suspend, and never waits on a silent connection.
             await writer.write(self._value, drain=False)
@@ -111,6 +119,11 @@
         finally:
             gate.open()
 
+    def _find_refusal(self, writer: AbstractStreamWriter) -> str:
+        refusal = self.guard.find_refusal(self.work) or find_closed(writer)
+        # The limit may have dropped while the request waited for its connection.
+        return refusal or ("" if self.guard.has_room_to_send() else OVER_LIMIT)
+
     async def _wait_flushed(self, transport: asyncio.Transport) -> None:
         """Wait until the socket has taken the rest; raise a timeout if it takes nothing more."""
         loop = asyncio.get_running_loop()
--- a/flamingostack/dispatch/target.py
+++ b/flamingostack/dispatch/target.py
@@ -16,7 +16,6 @@
     ConnectionTimeoutError,
     DummyCookieJar,
     SocketTimeoutError,
-    TCPConnector,
 )
 from yarl import URL
 
@@ -25,8 +24,8 @@
 from ..generated import messages_pb2 as pb
 from ..generated.preset import LimitPolicy
 from ..state import FleetView, StateFeed, TargetInfo
-from .connections import Connections
-from .fence import CONNECTION_CLOSED, Fence, FencedRequest, FlushGate
+from .connections import Connections, WatchedConnector
+from .fence import CONNECTION_CLOSED, OVER_LIMIT, Fence, FencedRequest, FlushGate
 from .limit import FixedLimit, Limit, LimitSizes
 from .queue import WorkQueue
 from .recorder import Recorder, Trace
@@ -156,6 +155,7 @@
         "connections",
         "silent_after_s",
         "in_flight",
+        "sent",
         "claim",
         "is_retired",
         "is_closed",
@@ -186,7 +186,9 @@
         self.gate = FlushGate()
         self.connections = Connections(count_connections(info.target, policy))
         self.silent_after_s = context.environment.settings.dispatch.silent_after_ms / 1000
+        # `sent` counts those of the requests in flight whose body was written.
         self.in_flight = 0
+        self.sent = 0
         self.claim: Claim | None = None
         self.is_retired = False
         self.is_closed = False
@@ -313,6 +315,14 @@
             return "deadline"
         return ""
 
+    def has_room_to_send(self) -> bool:
+        """Tell whether one more request may be at the target under the present limit."""
+        return self.sent < self.limit.current
+
+    def count_sent(self) -> None:
+        """Count a request whose body is written."""
+        self.sent += 1
+
     def remaining_ms(self, work: Work) -> int:
         """Return the whole milliseconds to the work's deadline, at least 1."""
         return max((work.deadline_ns - self._now_ns()) // NS_PER_MS, 1)
@@ -421,11 +431,20 @@
                 self._loop.call_later(remaining_s, self._finish, work, partition)
             else:
                 self._finish(work, partition)
+            self._conclude(work, outcome)
+
+    def _conclude(self, work: Work, outcome: Outcome) -> None:
+        if outcome.reason == OVER_LIMIT and not (work.is_replied or self.is_retired):
+            self.queue.push(work)
+            self._start_waiting()
+        else:
             self._reply(work, outcome.status, outcome.reason, outcome.body, outcome.snapshot)
 
     def _finish(self, work: Work, partition: int) -> None:
         work.state = WorkState.DONE
         self.in_flight -= 1
+        if work.fence and work.fence.has_begun:
+            self.sent -= 1
         self.context.on_finish(partition)
         self._start_waiting()
         if self.is_retired and not self.in_flight and self._wake and not self._wake.done():
@@ -443,6 +462,15 @@
         if outcome.status == pb.SUB_STATUS_OK:
             self._record_service_time(self._now_ns() - work.started_ns)
 
+    def _on_connection_lost(self, by_target: bool, remaining: int) -> None:
+        """Count the target as cold if it closed a connection, as at a restart, or none is left.
+
+        While nothing is in flight and no connection is open, a restart would go unnoticed. A
+        connection that was closed since it went silent is not the target's fault.
+        """
+        if by_target or not (remaining or self.in_flight or self.connections.half_open):
+            self.limit.turn_cold()
+
     def _expire_half_open(self) -> None:
         self.connections.expire()
         self._start_waiting()
@@ -526,7 +554,7 @@
     def _get_session(self) -> ClientSession:
         if self._session is None or self._session.closed:
             self._session = ClientSession(
-                connector=TCPConnector(limit=0, force_close=False),
+                connector=WatchedConnector(self._on_connection_lost),
                 cookie_jar=DummyCookieJar(),
                 request_class=FencedRequest,
             )
--- a/tests/dispatch/test_fence.py
+++ b/tests/dispatch/test_fence.py
@@ -26,6 +26,12 @@
         self.checks += 1
         return self.refusal
 
+    def has_room_to_send(self):
+        return True
+
+    def count_sent(self):
+        pass
+
     def remaining_ms(self, work):
         return 700
 
--- a/tests/dispatch/test_target.py
+++ b/tests/dispatch/test_target.py
@@ -156,6 +156,55 @@
                 self.assertEqual((await bench.reply(number)).status, OK)
             self.assertEqual(searcher.most_running, 6)
 
+    async def test_warm_target_that_closed_its_connections_counts_as_cold(self):
+        # Guards against a burst to a target that restarted while nothing was sent to it.
+        async with serving(slots=6, cold_limit=1) as (bench, searcher):
+            for _ in range(7):
+                await bench.ask()
+            self.assertIs(bench.target().limit.state, LimitState.WARM)
+            for transport in searcher.connections:
+                transport.abort()
+            searcher.delay_s = 0.02
+            numbers = [bench.send() for _ in range(10)]
+            await until(lambda: searcher.running)
+            self.assertEqual(bench.target().limit.current, 1)
+            searcher.most_running = 0
+            for number in numbers[:2]:
+                self.assertEqual((await bench.reply(number)).status, OK)
+            self.assertEqual(searcher.most_running, 1)
+
+    async def test_connections_that_dispatch_closes_leave_a_target_warm_but_for_the_last(self):
+        # Guards against a cold start at each connection that was idle for long.
+        async with serving(slots=4, cold_limit=2) as (bench, searcher):
+            searcher.delay_s = 0.01
+            for _ in range(6):
+                await asyncio.gather(*(bench.ask() for _ in range(4)))
+            target = bench.target()
+            idle = [
+                item[0] for group in target._session.connector._conns.values() for item in group
+            ]
+            self.assertEqual(len(idle), 4)
+            for protocol in idle:
+                self.assertIs(target.limit.state, LimitState.WARM)
+                protocol.close()
+                await asyncio.sleep(0.01)
+            self.assertIs(target.limit.state, LimitState.COLD)
+
+    async def test_limit_that_drops_while_requests_wait_for_a_connection(self):
+        # Guards against requests that were within the limit when they started to connect.
+        async with serving(slots=6, cold_limit=4) as (bench, searcher):
+            searcher.cold = "1"
+            searcher.delay_s = 0.02
+            numbers = [bench.send() for _ in range(4)]
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertEqual((bench.target().in_flight, bench.target().sent), (4, 0))
+            bench.update(grants=[(0, 1, 1, 3)])
+            for number in numbers:
+                self.assertEqual((await bench.reply(number)).status, OK)
+            self.assertEqual(searcher.most_running, 1)
+            self.assertEqual((bench.target().in_flight, bench.target().sent), (0, 0))
+
     async def test_silent_connection_is_replaced_while_the_cap_holds(self):
         async with serving(cold_limit=2, connections=2) as (bench, searcher):
             target = bench.target()
