Start proofs of cold start and graceful shutdown

Cause: invariants 3 and 9 had no proofs with real processes. Change: scenarios with frozen, killed and replaced owners, sudden cold starts and rolling restarts, with a mutant for each mechanism; unfinished.

--- /dev/null
+++ b/tests/proofs/faults.py
@@ -0,0 +1,140 @@
+"""Faults, waits and counts that several proofs share."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Iterable
+from pathlib import Path
+
+from flamingostack.entry.once import make_record_key
+from flamingostack.fleet.placement import partition_of_target
+from standins.deployments import DUMALAGAN
+from standins.launcher import Answer, Cluster
+from tests.proofs.support import KEYSPACE, SERVICE, until
+
+SETTLE_S = 1.0
+TENANT = "t"
+SUBMIT_CLASS = "booking"
+SUBMIT_SERVICE = "booking"
+WITH_SUBMITS = DUMALAGAN.reduce(groups=2, instances=3, services=(SERVICE, SUBMIT_SERVICE))
+
+
+async def find_holders(cluster: Cluster, viewer: str) -> dict[int, str]:
+    """Return the instance that holds each partition, as one instance knows it."""
+    status = await cluster.status(viewer)
+    return {item.number: item.holder.instance for item in status.partitions}
+
+
+async def find_held_targets(cluster: Cluster, instance: str) -> list[str]:
+    """Return the targets in the partitions of an instance, by its own view."""
+    document = (await cluster.status(instance)).document
+    holders = await find_holders(cluster, instance)
+    domains = cluster.deployment.failure_domains
+    held = []
+    for domain in domains:
+        for target in cluster.targets(failure_domain=domain):
+            number = partition_of_target(
+                target_id=target,
+                failure_domain=domain,
+                partition_count=document.partition_count,
+                failure_domains=list(document.failure_domains),
+            )
+            if holders[number] == instance:
+                held.append(target)
+    return held
+
+
+async def until_taken_over(cluster: Cluster, instance: str) -> None:
+    """Wait until all others know that an instance holds nothing."""
+    others = [item for item in cluster.instances if item != instance]
+
+    async def is_taken_over() -> bool:
+        found = [await find_holders(cluster, other) for other in others]
+        return all(holders and instance not in holders.values() for holders in found)
+
+    await until(is_taken_over, f"takeover from {instance}")
+
+
+async def until_served(cluster: Cluster, targets: Iterable[str], more: int = 10) -> None:
+    """Wait until each target has started so many more requests."""
+    before = await cluster.witness()
+
+    async def is_served() -> bool:
+        now = await cluster.witness()
+        return all(now[item]["started"] - before[item]["started"] >= more for item in targets)
+
+    await until(is_served, f"{more} requests at {', '.join(targets)}")
+
+
+async def find_over_limit(cluster: Cluster) -> dict[str, int]:
+    """Return the searchers that had more than their cold limit at once, with the most they had."""
+    limits = {item.name: item.cold_limit for item in cluster.deployment.services}
+    return {
+        target: seen["cold_most_in_flight"]
+        for target, seen in (await cluster.witness()).items()
+        if seen["over_cold_limit"] or seen["cold_most_in_flight"] > limits[target.partition("-")[0]]
+    }
+
+
+def is_stopped(pid: int) -> bool:
+    """Tell whether a process is frozen."""
+    return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] == "T"
+
+
+def request_freeze(settings_path: Path) -> None:
+    """Let the mutant `freeze-in-fence` stop a dispatch process at its next write."""
+    Path(f"{settings_path}.freeze").touch()
+
+
+async def freeze_in_fence(cluster: Cluster, instance: str) -> None:
+    """Freeze an instance while its dispatch process is between the last check and the write.
+
+    The instance runs with the mutant `freeze-in-fence`.
+    """
+    request_freeze(cluster.instances[instance].settings_path)
+    pid = cluster.instances[instance].processes["dispatch"].pid
+
+    async def is_frozen() -> bool:
+        return is_stopped(pid)
+
+    await until(is_frozen, f"{instance} writes a request")
+    cluster.pause(instance)
+
+
+async def restart_cold(cluster: Cluster, targets: list[str]) -> None:
+    """Restart searchers: their connections are closed and they come up cold."""
+    await cluster.searcher_fault(targets, "down")
+    await asyncio.sleep(0.05)
+    await cluster.searcher_fault(targets, "up")
+
+
+class Submitted:
+    """One submit with its answer, and the name under which searchers count its runs."""
+
+    __slots__ = ("idempotency_key", "once_key", "answer")
+
+    def __init__(self, idempotency_key: str, answer: Answer) -> None:
+        self.idempotency_key = idempotency_key
+        self.once_key = make_record_key(TENANT, SUBMIT_CLASS, idempotency_key)
+        self.answer = answer
+
+
+async def submit(cluster: Cluster, idempotency_key: str, instance: str | None = None) -> Submitted:
+    """Send a submit; the body depends on the Idempotency-Key only."""
+    position = int(hashlib.sha256(idempotency_key.encode()).hexdigest(), 16) % KEYSPACE
+    body = {"survey": idempotency_key}
+    answer = await cluster.caller.submit(
+        SUBMIT_CLASS, idempotency_key, position, body, tenant=TENANT, instance_id=instance
+    )
+    return Submitted(idempotency_key, answer)
+
+
+async def until_running(cluster: Cluster, idempotency_key: str) -> None:
+    """Wait until a searcher has started to run a submit."""
+    once_key = make_record_key(TENANT, SUBMIT_CLASS, idempotency_key)
+
+    async def is_running() -> bool:
+        return once_key in await cluster.runs_by_key()
+
+    await until(is_running, f"a run of {idempotency_key}")
--- a/tests/proofs/mutants.py
+++ b/tests/proofs/mutants.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+import os
 import runpy
+import signal
 import sys
 from collections.abc import Callable
+from pathlib import Path
 
 
 def remove_fence() -> None:
@@ -140,6 +143,73 @@
     operations.find_change = lambda document, change_id: None
 
 
+def freeze_in_fence() -> None:
+    """Stop dispatch between the last check and the write, once `<settings>.freeze` exists."""
+    from flamingostack.dispatch.target import Target
+
+    count_sent = Target.count_sent
+    path = Path(sys.argv[sys.argv.index("--settings") + 1] + ".freeze")
+
+    def count_sent_and_stop(self):
+        count_sent(self)
+        if path.exists():
+            path.unlink()
+            os.kill(os.getpid(), signal.SIGSTOP)
+
+    Target.count_sent = count_sent_and_stop
+
+
+def remove_reserve() -> None:
+    """Let a new holder use the whole cold limit while a previous one may still send."""
+    from flamingostack.dispatch.limit import Limit
+
+    Limit.set_reserve = lambda self, reserve: None
+
+
+def ignore_closed_connections() -> None:
+    """Learn nothing from connections that the target closes, and check no limit at the write."""
+    from flamingostack.dispatch.target import Target
+
+    Target._on_connection_lost = lambda self, by_target, remaining: None
+    Target.has_room_to_send = lambda self: True
+
+
+def remove_takeover_wait() -> None:
+    """Let a new holder send at once, while requests of the previous one may still run."""
+    from flamingostack.fleet.node import Node
+
+    Node._has_stopped = lambda self, peer, now_ns: bool(peer.dead_ns)
+    Node._is_accepted_and_over = lambda self, version, now_ns: True
+
+
+def remove_drain() -> None:
+    """Report a withdrawn partition as drained while its requests still run."""
+    from flamingostack.dispatch.ownership import Ownership
+
+    def report_at_once(self, partition):
+        self.feed.report_drained([self._withdrawn_by_partition.pop(partition)])
+
+    Ownership._report_if_drained = report_at_once
+
+
+def exit_at_once() -> None:
+    """End the entry process at SIGTERM, with status 0."""
+    from flamingostack.entry.shutdown import Shutdown
+
+    Shutdown.request = lambda self: os._exit(0)
+
+
+def keep_partitions() -> None:
+    """Let a control process leave without giving its partitions away."""
+    from flamingostack.control.main import ControlProcess
+    from flamingostack.status import ExitStatus
+
+    async def leave(self):
+        return ExitStatus.SUCCESS
+
+    ControlProcess._leave = leave
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "no-fence": remove_fence,
     "no-pin": remove_pin,
@@ -152,14 +222,22 @@
     "no-peer-document": ignore_document_of_peers,
     "no-expected-version": ignore_expected_version,
     "no-change-ids": ignore_change_ids,
+    "freeze-in-fence": freeze_in_fence,
+    "no-reserve": remove_reserve,
+    "unwatched-connections": ignore_closed_connections,
+    "no-takeover-wait": remove_takeover_wait,
+    "no-drain": remove_drain,
+    "exit-at-once": exit_at_once,
+    "no-transfer": keep_partitions,
 }
 
 
 def main(arguments: list[str]) -> None:
-    """Apply the named mutant, then run the module with the remaining arguments."""
-    name, module, *rest = arguments
-    MUTANTS[name]()
+    """Apply the named mutants (joined by +), then run the module with the remaining arguments."""
+    names, module, *rest = arguments
     sys.argv = [module, *rest]
+    for name in names.split("+"):
+        MUTANTS[name]()
     runpy.run_module(module, run_name="__main__")
 
 
