--- a/tests/proofs/mutants.py
+++ b/tests/proofs/mutants.py
@@ -210,6 +210,23 @@
     ControlProcess._leave = leave
 
 
+def send_without_record() -> None:
+    """Send a submit whether or not its record could be created."""
+    from flamingostack.entry.once import Submission
+
+    async def claim(self):
+        return True
+
+    Submission._claim = claim
+
+
+def refuse_as_not_run() -> None:
+    """Tell callers that every refused request did not run."""
+    from flamingostack.entry import refusals
+
+    refusals.RAN_BY_REASON.clear()
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "no-fence": remove_fence,
     "no-pin": remove_pin,
@@ -229,6 +246,8 @@
     "no-drain": remove_drain,
     "exit-at-once": exit_at_once,
     "no-transfer": keep_partitions,
+    "no-record": send_without_record,
+    "always-not-run": refuse_as_not_run,
 }
 
 
