--- a/tests/proofs/support.py
+++ b/tests/proofs/support.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from standins.deployments import DUMALAGAN
-from standins.launcher import Answer, Cluster, find_wrong
+from standins.launcher import CALL_ERRORS, Answer, Cluster, find_wrong
 
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000_000_000
@@ -184,7 +184,11 @@
 
     async def is_balanced() -> bool:
         for instance in cluster.instances:
-            status = await cluster.status(instance)
+            try:
+                status = await cluster.status(instance)
+            except CALL_ERRORS:
+                # A process that was just started does not listen yet.
+                return False
             holders = [item.holder.instance for item in status.partitions]
             held_by_view[instance] = {name: holders.count(name) for name in cluster.instances}
         return all(
