List in a Sync only what the peer has not confirmed

Cause: every Sync request and reply listed all members and all claims beyond the document, every 500 ms and for every peer, and each message copied all members and visited all partitions.

Ruled out: a digest of the lists (known deaths differ between members for as long as a connection is cut, so full lists would be sent all that time); marking a list as known when it is sent (a lost reply then hides a claim, and a dead holder counts too early: SentCountsAsKnown in test_rules shows it).

Change: members and claims have a revision each, and each entry the revision of its last change. A request lists what changed since the revisions that the peer's incarnation confirmed, and a reply what changed since those that the requester has received. Revisions hold for one incarnation only; a process that restarted confirms nothing and answers with complete lists. The argument for acceptance is unchanged: a reply and all replies received before it list every claim that the responder knew. In the model a process writes to the incarnation that answered last, as a Link does. on_sync_reply loses its claims_revision argument, since the reply says which revisions it confirms.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,6 +17,7 @@
 
 import numpy as np
 
+from flamingostack.fleet.node import NS_PER_MS, Node, Timing
 from flamingostack.generated import messages_pb2 as pb
 from standins.deployments import DUMALAGAN, Deployment
 from standins.launcher import Cluster
@@ -110,7 +111,7 @@
 
 
 def measure_members() -> dict[str, Any]:
-    """Return bytes and parse time of a list of members, as Sync carries it."""
+    """Return bytes and parse time of a list of all members, as the first Sync carries it."""
     replies = [
         pb.SyncReply(known_members=[make_member(number) for number in range(size)])
         for size in MEMBER_SIZES
@@ -118,13 +119,58 @@
     encoded = [reply.SerializeToString() for reply in replies]
     sizes = [float(size) for size in MEMBER_SIZES]
     return {
-        "sync_bytes_by_members": fit(sizes, [float(len(item)) for item in encoded]),
-        "sync_parse_us_by_members": fit(
+        "member_list_bytes_by_members": fit(sizes, [float(len(item)) for item in encoded]),
+        "member_list_parse_us_by_members": fit(
             sizes, [time_us(lambda item=item: pb.SyncReply.FromString(item)) for item in encoded]
         ),
     }
 
 
+def sync_once(sender: Node, receiver: Node, now_ns: int) -> tuple[int, float]:
+    """Return the bytes of one Sync and its processor time in microseconds, both sides together."""
+    start = time.process_time()
+    request = sender.make_sync_request(receiver.own.incarnation)
+    reply = receiver.on_sync_request(request, now_ns)
+    sender.on_sync_reply(reply, now_ns, now_ns)
+    elapsed_us = (time.process_time() - start) * US_PER_S
+    return request.ByteSize() + reply.ByteSize(), elapsed_us
+
+
+def measure_sync_of(size: int) -> dict[str, float]:
+    """Return the cost of the first Sync and of later ones between two of `size` members.
+
+    A twentieth of the partitions has moved since the document was written.
+    """
+    members = [make_member(number) for number in range(size)]
+    document = make_document(2 * size)
+    moved = [
+        pb.Partition(number=number, term=3, transfer=3, holder=members[number % size])
+        for number in range(0, 2 * size, 20)
+    ]
+    timing = Timing(*(ms * NS_PER_MS for ms in (3000, 250, 2000, 1000)))
+    nodes = [Node(member, timing, 0) for member in members[:2]]
+    for node in nodes:
+        node.adopt_document(document, 0)
+        node.learn_partitions(moved)
+    first, _ = sync_once(*nodes, NS_PER_MS)
+    later = []
+    for number in range(2, 12):
+        sync_once(*reversed(nodes), number * NS_PER_MS)
+        later.append(sync_once(*nodes, number * NS_PER_MS))
+    return {
+        "first_bytes": float(first),
+        "later_bytes": float(later[-1][0]),
+        "later_us": sum(elapsed_us for _, elapsed_us in later) / len(later),
+    }
+
+
+def measure_sync() -> dict[str, Any]:
+    """Return what a Sync costs by the members of the fleet."""
+    rows = [measure_sync_of(size) for size in MEMBER_SIZES]
+    sizes = [float(size) for size in MEMBER_SIZES]
+    return {f"sync_{name}_by_members": fit(sizes, [row[name] for row in rows]) for name in rows[0]}
+
+
 def measure_batches() -> dict[str, Any]:
     """Return the cost of encoding and parsing a batch by its sub-requests."""
     sizes = [float(size) for size in BATCH_SIZES]
@@ -267,7 +313,7 @@
 
 def main() -> int:
     """Measure all slopes and print them as JSON."""
-    slopes = {**measure_document(), **measure_members(), **measure_batches()}
+    slopes = {**measure_document(), **measure_members(), **measure_batches(), **measure_sync()}
     slopes.update(asyncio.run(measure_fleet()))
     slopes.update(asyncio.run(measure_queries()))
     print(json.dumps(slopes, indent=1))
--- a/flamingostack/control/peers.py
+++ b/flamingostack/control/peers.py
@@ -59,13 +59,12 @@
     async def _sync(self) -> None:
         node = self.controller.node
         request = node.make_sync_request(self.incarnation)
-        claims_revision = node.claims_revision
         sent_ns = self.controller.now_ns()
         reply = await self.call(lambda stub: stub.Sync(request))
         if reply is None or reply.protocol != PROTOCOL or node.is_foreign(reply.fleet):
             return
         self.incarnation = reply.responder.incarnation
-        node.on_sync_reply(reply, sent_ns, claims_revision, self.controller.now_ns())
+        node.on_sync_reply(reply, sent_ns, self.controller.now_ns())
         # Members that share no address with the answering one are reached by their own links.
         if reply.responder.control_address != self.address:
             node.seeds.discard(self.address)
--- a/flamingostack/fleet/membership.py
+++ b/flamingostack/fleet/membership.py
@@ -19,6 +19,8 @@
 
     `heard_ns` is when the last message of it arrived; `dead_ns` is when its death was seen (0: not
     seen), and `dispatch_gone_ns` when all its dispatch processes were known to have stopped.
+    `confirmed` are the own revisions up to which it has got members and claims, and `received` its
+    revisions up to which this process has got them.
     """
 
     __slots__ = (
@@ -29,8 +31,8 @@
         "version",
         "applied_version",
         "silent_members",
-        "claims_revision",
-        "index_revision",
+        "confirmed",
+        "received",
         "dead_ns",
         "refusing",
         "dispatch_gone_ns",
@@ -44,8 +46,8 @@
         self.version = 0
         self.applied_version = 0
         self.silent_members: frozenset[str] = frozenset()
-        self.claims_revision = 0
-        self.index_revision = 0
+        self.confirmed = pb.Revisions()
+        self.received = pb.Revisions()
         self.dead_ns = 0
         self.refusing: set[str] = set()
         self.dispatch_gone_ns = 0
@@ -57,15 +59,21 @@
 
 
 class Membership:
-    """All known peers, without the own incarnation."""
+    """All known peers, without the own incarnation.
 
-    __slots__ = ("own", "suspect_ns", "peers", "dead")
+    `revision` counts the changes that peers have to be told of.
+    """
+
+    __slots__ = ("own", "suspect_ns", "peers", "dead", "revision", "revisions_by_name")
 
     def __init__(self, own: pb.Member, suspect_ns: int) -> None:
         self.own = own
         self.suspect_ns = suspect_ns
         self.peers: dict[str, Peer] = {}
         self.dead: dict[str, None] = {}
+        self.revision = 0
+        # The revision of each peer's last change, in the order of the changes.
+        self.revisions_by_name: dict[str, int] = {}
 
     def learn(self, member: pb.Member, now_ns: int, first_hand: bool = False) -> Peer | None:
         """Add or update a member; None for the own incarnation and for forgotten ones."""
@@ -76,19 +84,50 @@
         if peer is None:
             peer = self.peers[name] = Peer(pb.Member(), now_ns)
             peer.member.CopyFrom(member)
+            self._on_changed(name)
             self._find_replaced(now_ns)
-        leaving = peer.member.leaving or member.leaving
-        if first_hand or not peer.first_hand:
-            peer.member.CopyFrom(member)
-            peer.member.leaving = leaving
+        self._merge(peer, member, first_hand)
         if first_hand:
             peer.first_hand = True
             peer.heard_ns = now_ns
             self._revive(peer)
         return peer
 
+    def _merge(self, peer: Peer, member: pb.Member, first_hand: bool) -> None:
+        """Take over what a member says of itself, or what others say while it is not heard.
+
+        Others may differ in what they last heard of it, so only its `leaving`, which never ends,
+        is passed on from them.
+        """
+        is_first = first_hand and not peer.first_hand
+        if (peer.first_hand and not first_hand) or (member == peer.member and not is_first):
+            return
+        leaving = peer.member.leaving or member.leaving
+        is_news = first_hand or leaving != peer.member.leaving
+        peer.member.CopyFrom(member)
+        peer.member.leaving = leaving
+        if is_news:
+            self._on_changed(member.incarnation)
+
+    def _on_changed(self, name: str) -> None:
+        self.revision += 1
+        self.revisions_by_name.pop(name, None)
+        self.revisions_by_name[name] = self.revision
+
+    def changed_since(self, revision: int) -> list[Peer]:
+        """Return the peers that changed after `revision` and are not known to be dead."""
+        peers = []
+        for name, changed in reversed(self.revisions_by_name.items()):
+            if changed <= revision:
+                break
+            if not self.peers[name].dead_ns:
+                peers.append(self.peers[name])
+        return peers
+
     def _revive(self, peer: Peer) -> None:
         """Take back a death: a process that sends is not dead."""
+        if peer.dead_ns:
+            self._on_changed(peer.member.incarnation)
         self.dead.pop(peer.member.incarnation, None)
         peer.dead_ns = 0
         peer.dispatch_gone_ns = 0
@@ -183,6 +222,7 @@
         """Drop members for good."""
         for name in incarnations:
             self.peers.pop(name, None)
+            self.revisions_by_name.pop(name, None)
             self.dead[name] = None
         while len(self.dead) > MAX_DEAD:
             self.dead.pop(next(iter(self.dead)))
--- a/flamingostack/fleet/node.py
+++ b/flamingostack/fleet/node.py
@@ -18,6 +18,8 @@
 NS_PER_MS = 1_000_000
 # A dead member is dropped once its peers have had time to notice, too.
 FORGET_DEAD_NS = 60_000_000_000
+# Stands for a peer that has confirmed nothing and of which nothing was received.
+UNKNOWN_PEER = Peer(pb.Member(), 0)
 
 
 class Timing:
@@ -60,7 +62,9 @@
         "indexes",
         "index_revision",
         "partitions",
+        "written",
         "claims_revision",
+        "revisions_by_claim",
         "accepted_claims",
         "ready_claims",
         "seen_versions",
@@ -91,7 +95,11 @@
         self.indexes: dict[str, pb.ServiceIndex] = {}
         self.index_revision = 0
         self.partitions: dict[int, pb.Partition] = {}
+        # The document's partitions, by number.
+        self.written: dict[int, pb.Partition] = {}
         self.claims_revision = 0
+        # The revision of each claim's last change, in the order of the changes.
+        self.revisions_by_claim: dict[int, int] = {}
         self.accepted_claims: dict[int, Claim] = {}
         self.ready_claims: dict[int, Claim] = {}
         self.seen_versions: dict[int, int] = {}
@@ -121,6 +129,7 @@
             return False
         self.document = pb.FleetDocument()
         self.document.CopyFrom(document)
+        self.written = {partition.number: partition for partition in self.document.partitions}
         for partition in document.partitions:
             self._learn_partition(partition, from_document=True)
             self.membership.learn(partition.holder, now_ns)
@@ -149,9 +158,9 @@
             self._drop_claim(number)
             self.partitions[number] = pb.Partition()
             self.partitions[number].CopyFrom(partition)
-            self.claims_revision += 1
+            self._on_claim_changed(number)
         elif merge_same_claim(current, partition):
-            self.claims_revision += 1
+            self._on_claim_changed(number)
         # Only a takeover or the first document makes a process a holder by the document alone; a
         # transfer does so by its own message.
         if (
@@ -163,6 +172,11 @@
         ):
             self._accept_claim(number, claim_of(partition))
 
+    def _on_claim_changed(self, number: int) -> None:
+        self.claims_revision += 1
+        self.revisions_by_claim.pop(number, None)
+        self.revisions_by_claim[number] = self.claims_revision
+
     def _accept_claim(self, number: int, claim: Claim) -> None:
         self.accepted_claims[number] = claim
         self.seen_versions[number] = self.document.version
@@ -197,19 +211,26 @@
     # ---- Sync ------------------------------------------------------------
 
     def make_sync_request(self, incarnation: str) -> pb.SyncRequest:
-        """Return the request to a peer; an empty name stands for an unknown one."""
+        """Return the request to a peer; an empty name stands for an unknown one.
+
+        It lists the members and claims that changed since the revisions that this incarnation has
+        confirmed. An unknown peer has confirmed none, so it gets all of them.
+        """
+        peer = self.membership.peers.get(incarnation) or UNKNOWN_PEER
         request = pb.SyncRequest(
             protocol=PROTOCOL,
             sender=self.own,
             document_version=self.document.version,
             index_revision=self.index_revision,
             applied_version=self.applied_version,
-            known_members=self._known_members(),
-            partitions=self._claims_beyond_document(),
+            known_members=self._members_since(peer.confirmed.members),
+            partitions=self._claims_since(peer.confirmed.claims),
             fleet=self.document.fleet,
+            receiver="" if peer is UNKNOWN_PEER else incarnation,
+            revisions=self._revisions(),
+            known_revisions=peer.received,
         )
-        peer = self.membership.peers.get(incarnation)
-        if peer is not None and peer.first_hand and peer.version < self.document.version:
+        if peer.first_hand and peer.version < self.document.version:
             request.document.CopyFrom(self.document)
         return request
 
@@ -224,10 +245,8 @@
         self.update(now_ns)
         return self._make_sync_reply(request, now_ns)
 
-    def on_sync_reply(
-        self, reply: pb.SyncReply, sent_ns: int, claims_revision: int, now_ns: int
-    ) -> None:
-        """Learn from the reply to a request sent at `sent_ns` with that `claims_revision`."""
+    def on_sync_reply(self, reply: pb.SyncReply, sent_ns: int, now_ns: int) -> None:
+        """Learn from the reply to a request sent at `sent_ns`."""
         # Only a reply proves which incarnation is at an address: a request of an earlier one may
         # have been on its way.
         self.membership.learn(reply.responder, now_ns, first_hand=True)
@@ -241,7 +260,9 @@
             peer.version = max(peer.version, reply.document_version)
             peer.applied_version = max(peer.applied_version, reply.applied_version)
             peer.silent_members = frozenset(reply.silent_members)
-            peer.claims_revision = max(peer.claims_revision, claims_revision)
+        if peer is not None:
+            raise_revisions(peer.confirmed, reply.confirmed_revisions)
+            raise_revisions(peer.received, reply.revisions)
         self.seeds.discard(reply.responder.control_address)
         self.update(now_ns)
 
@@ -258,11 +279,15 @@
         for member in message.known_members:
             self.membership.learn(member, now_ns)
         self.learn_partitions(message.partitions)
-        for partition in self.partitions.values():
-            self.membership.learn(partition.holder, now_ns)
+        for partition in message.partitions:
+            self.membership.learn(self.partitions[partition.number].holder, now_ns)
 
     def _make_sync_reply(self, request: pb.SyncRequest, now_ns: int) -> pb.SyncReply:
         contact_ns = self.store_contact_ns
+        # Revisions count for one incarnation: a restarted process knows nothing of what the
+        # sender got from, or told, the incarnation before it.
+        is_receiver = request.receiver == self.own.incarnation
+        known = request.known_revisions if is_receiver else pb.Revisions()
         reply = pb.SyncReply(
             protocol=PROTOCOL,
             responder=self.own,
@@ -272,27 +297,36 @@
             store_age_ms=-1 if contact_ns is None else -((contact_ns - now_ns) // NS_PER_MS),
             votes=sorted(self.votes()),
             fleet=self.document.fleet,
-            known_members=self._known_members(),
-            partitions=self._claims_beyond_document(),
+            known_members=self._members_since(known.members),
+            partitions=self._claims_since(known.claims),
+            revisions=self._revisions(),
             silent_members=self.membership.silent_names(now_ns),
             indexes=[
                 index for index in self.indexes.values() if index.revision > request.index_revision
             ],
         )
+        if is_receiver or not request.receiver:
+            reply.confirmed_revisions.CopyFrom(request.revisions)
         if request.document_version < self.document.version:
             reply.document.CopyFrom(self.document)
         return reply
 
-    def _known_members(self) -> list[pb.Member]:
-        return [peer.member for peer in self.membership.peers.values() if not peer.dead_ns]
+    def _revisions(self) -> pb.Revisions:
+        return pb.Revisions(members=self.membership.revision, claims=self.claims_revision)
 
-    def _claims_beyond_document(self) -> list[pb.Partition]:
-        written = {partition.number: partition for partition in self.document.partitions}
-        return [
-            partition
-            for number, partition in self.partitions.items()
-            if number not in written or partition != written[number]
-        ]
+    def _members_since(self, revision: int) -> list[pb.Member]:
+        return [peer.member for peer in self.membership.changed_since(revision)]
+
+    def _claims_since(self, revision: int) -> list[pb.Partition]:
+        """Return the claims changed after `revision`, without those of the own document."""
+        partitions = []
+        for number, changed in reversed(self.revisions_by_claim.items()):
+            if changed <= revision:
+                break
+            partition = self.partitions[number]
+            if partition != self.written.get(number):
+                partitions.append(partition)
+        return partitions
 
     # ---- Lease -----------------------------------------------------------
 
@@ -523,7 +557,7 @@
         if len(kept) < len(partition.unresolved_holders):
             del partition.unresolved_holders[:]
             partition.unresolved_holders.extend(kept)
-            self.claims_revision += 1
+            self._on_claim_changed(partition.number)
 
     def _is_resolved(self, number: int, incarnation: str, now_ns: int) -> bool:
         if incarnation in self.releases[number] or incarnation in self.membership.dead:
@@ -623,7 +657,7 @@
     def _raise_own_claim(self, number: int, ready: bool) -> None:
         partition = self.partitions[number]
         partition.transfer += 1
-        self.claims_revision += 1
+        self._on_claim_changed(number)
         claim = claim_of(partition)
         self.accepted_claims[number] = claim
         self.releases.setdefault(number, set())
@@ -781,7 +815,8 @@
     def has_spread_claims(self, now_ns: int) -> bool:
         """Tell whether all reached peers know the transfers of this process."""
         return all(
-            peer.claims_revision >= self.claims_revision for peer in self.membership.reached(now_ns)
+            peer.confirmed.claims >= self.claims_revision
+            for peer in self.membership.reached(now_ns)
         )
 
     # ---- Forgetting ------------------------------------------------------
@@ -810,6 +845,12 @@
         )
 
 
+def raise_revisions(revisions: pb.Revisions, other: pb.Revisions) -> None:
+    """Raise each revision to the one of `other`, if that is higher."""
+    revisions.members = max(revisions.members, other.members)
+    revisions.claims = max(revisions.claims, other.claims)
+
+
 def make_answer(reply: pb.SyncReply, sent_ns: int) -> PeerAnswer:
     """Return what a Sync reply proves about the peer's state."""
     contact_ns = None
--- a/tests/fleet/model.py
+++ b/tests/fleet/model.py
@@ -141,6 +141,8 @@
         self.controller = Controller(environment, node)
         self.keeper = Keeper(self.controller, store=None)
         self.busy: dict[str, int] = {}
+        # Like a Link, a control process writes to the incarnation that answered last.
+        self.incarnations_by_host: dict[int, str] = {}
         self.world.hosts.append(self) if self not in self.world.hosts else None
         self.tick(self.controller)
 
@@ -328,19 +330,23 @@
         for other in self.hosts:
             if self.random.random() > TICK_MS / SYNC_MS:
                 continue
-            name = f"h{other.number}-{other.boots}"
+            name = host.incarnations_by_host.get(other.number, "")
             request = node.make_sync_request(name)
-            sent_ns, revision = host.now_ns(), node.claims_revision
+            sent_ns = host.now_ns()
             self.call(
                 host,
                 "sync",
                 other.number,
                 lambda peer, request=request: peer.node.on_sync_request(request, peer.now_ns()),
-                lambda reply, sent_ns=sent_ns, revision=revision: node.on_sync_reply(
-                    reply, sent_ns, revision, host.now_ns()
+                lambda reply, sent_ns=sent_ns, number=other.number: self.on_sync_reply(
+                    host, number, reply, sent_ns
                 ),
             )
 
+    def on_sync_reply(self, host: Host, peer: int, reply: pb.SyncReply, sent_ns: int) -> None:
+        host.incarnations_by_host[peer] = reply.responder.incarnation
+        host.node.on_sync_reply(reply, sent_ns, host.now_ns())
+
     def transfer(self, host: Host) -> None:
         node = host.node
         for receiver, partitions in node.transfers_to_send().items():
--- a/tests/fleet/test_rules.py
+++ b/tests/fleet/test_rules.py
@@ -205,7 +205,7 @@
         self.assertFalse(acceptance.quorum_ns)
         request = self.b.make_sync_request("c")
         reply = self.c.on_sync_request(request, NOW_NS + 2 * MS)
-        self.b.on_sync_reply(reply, NOW_NS + 2 * MS, 0, NOW_NS + 2 * MS)
+        self.b.on_sync_reply(reply, NOW_NS + 2 * MS, NOW_NS + 2 * MS)
         self.assertTrue(acceptance.quorum_ns)
 
     def test_new_instance_takes_no_lease_before_a_peer_knows_it(self):
@@ -216,3 +216,99 @@
         meet(self.a, added)
         self.assertTrue(added.is_current(NOW_NS))
         self.assertIn("d", self.a.unconfirmed(self.acceptance, NOW_NS))
+
+
+class SentCountsAsKnown(Node):
+    """Leaves out of a reply what an earlier one listed, whether or not that one arrived."""
+
+    __slots__ = ("listed",)
+
+    def _make_sync_reply(self, request, now_ns):
+        request.known_revisions.CopyFrom(getattr(self, "listed", pb.Revisions()))
+        self.listed = self._revisions()
+        return super()._make_sync_reply(request, now_ns)
+
+
+class AnyIncarnation(Node):
+    """Takes the revisions of the incarnation before it at the same address for its own."""
+
+    def _make_sync_reply(self, request, now_ns):
+        request.receiver = self.own.incarnation
+        return super()._make_sync_reply(request, now_ns)
+
+
+class SyncDeltaTest(unittest.TestCase):
+    """Guards against a claim that a Sync leaves out and its receiver lacks."""
+
+    def make_pair(self, node_class):
+        a, b = make_node("a"), make_node("b", node_class)
+        a.bootstrap(make_document(a.own, 3, 3, []), NOW_NS)
+        meet(a, b)
+        return a, b
+
+    def sync(self, sender, receiver, incarnation, now_ns, lost=False):
+        reply = receiver.on_sync_request(sender.make_sync_request(incarnation), now_ns)
+        if not lost:
+            sender.on_sync_reply(reply, now_ns, now_ns)
+        return reply
+
+    def is_accepted_without_the_votes_of_c(self, node_class):
+        """Let c, which is behind, hold the votes by a transfer that only b knows of."""
+        a, b = self.make_pair(node_class)
+        c, d = make_node("c"), make_node("d")
+        given = [pb.Partition(number=n, term=1, transfer=1, holder=c.own) for n in range(3)]
+        d.adopt_document(a.document, NOW_NS)
+        meet(d, b)
+        d.adopt_document(add_change(a.document, pb.Change(change_id="c"), []), NOW_NS)
+        acceptance = d.track(2)
+        b.learn_partitions(given)
+        d.on_refused("a", NOW_NS + MS)
+        self.sync(d, b, "b", NOW_NS + 2 * MS, lost=True)
+        self.sync(d, b, "b", NOW_NS + 3 * MS)
+        return bool(acceptance.quorum_ns)
+
+    def test_claims_of_a_lost_reply_are_sent_again_before_a_dead_holder_counts(self):
+        self.assertFalse(self.is_accepted_without_the_votes_of_c(Node))
+        self.assertTrue(self.is_accepted_without_the_votes_of_c(SentCountsAsKnown))
+
+    def may_leave_after_restart(self, node_class):
+        """Restart the receiver of the newest claims before the next Sync, which lists none."""
+        a, _ = self.make_pair(Node)
+        a.start_giving(0, "b")
+        for claim in a.drain_claims():
+            a.on_drained(claim, True, NOW_NS)
+        b = make_node("b2", node_class)
+        a.membership.peers["b"].confirmed.CopyFrom(a._revisions())
+        self.sync(a, b, "b", NOW_NS + MS)
+        return a.membership.peers["b2"].confirmed.claims >= a.claims_revision
+
+    def test_restarted_process_confirms_nothing_that_it_was_not_sent(self):
+        self.assertFalse(self.may_leave_after_restart(Node))
+        self.assertTrue(self.may_leave_after_restart(AnyIncarnation))
+
+    def test_known_lists_are_left_out_and_a_change_is_sent_once(self):
+        a, b = self.make_pair(Node)
+        for _ in range(2):
+            meet(a, b)
+        request = a.make_sync_request("b")
+        self.assertEqual((len(request.known_members), len(request.partitions)), (0, 0))
+        moved = pb.Partition(number=1, term=1, transfer=1, holder=pb.Member(incarnation="c"))
+        a.learn_partitions([moved])
+        self.assertEqual(list(a.make_sync_request("b").partitions), [moved])
+        self.sync(a, b, "b", NOW_NS + MS)
+        self.assertEqual(list(a.make_sync_request("b").partitions), [])
+        self.assertEqual(b.partitions[1], moved)
+
+    def test_member_that_comes_back_or_leaves_is_sent_again(self):
+        a, b = self.make_pair(Node)
+        c = make_node("c")
+        meet(a, c)
+        self.sync(a, b, "b", NOW_NS)
+        self.assertEqual(list(a.make_sync_request("b").known_members), [])
+        a.on_refused("c", NOW_NS + MS)
+        a.on_sync_request(c.make_sync_request("a"), NOW_NS + 2 * MS)
+        self.assertEqual(list(a.make_sync_request("b").known_members), [c.own])
+        self.sync(a, b, "b", NOW_NS + 2 * MS)
+        c.own.leaving = True
+        a.on_sync_request(c.make_sync_request("a"), NOW_NS + 3 * MS)
+        self.assertEqual(list(a.make_sync_request("b").known_members), [c.own])
--- a/tests/fleet/test_transfer.py
+++ b/tests/fleet/test_transfer.py
@@ -34,7 +34,7 @@
     for first, second in itertools.permutations(nodes, 2):
         request = first.make_sync_request(second.own.incarnation)
         reply = second.on_sync_request(request, NOW_NS)
-        first.on_sync_reply(reply, NOW_NS, first.claims_revision, NOW_NS)
+        first.on_sync_reply(reply, NOW_NS, NOW_NS)
 
 
 class Race:
