Recompute less after each Sync

Change: on_answering looks peers up by control address, and the node keeps the numbers of the partitions that name it as holder.

Conclusion: what is left per message is linear with a small factor: the peers that are silent, the answers for the lease, and who released a claim.

--- a/flamingostack/fleet/membership.py
+++ b/flamingostack/fleet/membership.py
@@ -64,7 +64,15 @@
     `revision` counts the changes that peers have to be told of.
     """
 
-    __slots__ = ("own", "suspect_ns", "peers", "dead", "revision", "revisions_by_name")
+    __slots__ = (
+        "own",
+        "suspect_ns",
+        "peers",
+        "dead",
+        "revision",
+        "revisions_by_name",
+        "names_by_address",
+    )
 
     def __init__(self, own: pb.Member, suspect_ns: int) -> None:
         self.own = own
@@ -74,6 +82,8 @@
         self.revision = 0
         # The revision of each peer's last change, in the order of the changes.
         self.revisions_by_name: dict[str, int] = {}
+        # Names of peers that have, or had, a control address.
+        self.names_by_address: dict[str, dict[str, None]] = {}
 
     def learn(self, member: pb.Member, now_ns: int, first_hand: bool = False) -> Peer | None:
         """Add or update a member; None for the own incarnation and for forgotten ones."""
@@ -84,6 +94,7 @@
         if peer is None:
             peer = self.peers[name] = Peer(pb.Member(), now_ns)
             peer.member.CopyFrom(member)
+            self._index_address(member)
             self._on_changed(name)
             self._find_replaced(now_ns)
         self._merge(peer, member, first_hand)
@@ -106,9 +117,13 @@
         is_news = first_hand or leaving != peer.member.leaving
         peer.member.CopyFrom(member)
         peer.member.leaving = leaving
+        self._index_address(member)
         if is_news:
             self._on_changed(member.incarnation)
 
+    def _index_address(self, member: pb.Member) -> None:
+        self.names_by_address.setdefault(member.control_address, {})[member.incarnation] = None
+
     def _on_changed(self, name: str) -> None:
         self.revision += 1
         self.revisions_by_name.pop(name, None)
@@ -157,7 +172,8 @@
 
     def on_answering(self, member: pb.Member, now_ns: int) -> None:
         """Record that `member` answers at its address: other incarnations there are dead."""
-        for name, peer in self.peers.items():
+        for name in self.names_by_address.get(member.control_address, ()):
+            peer = self.peers[name]
             if name == member.incarnation or peer.member.control_address != member.control_address:
                 continue
             self.mark_dead(name, now_ns)
@@ -221,8 +237,16 @@
     def forget(self, incarnations: Iterable[str]) -> None:
         """Drop members for good."""
         for name in incarnations:
-            self.peers.pop(name, None)
+            if self.peers.pop(name, None) is not None:
+                self._drop_from_index(name)
             self.revisions_by_name.pop(name, None)
             self.dead[name] = None
         while len(self.dead) > MAX_DEAD:
             self.dead.pop(next(iter(self.dead)))
+
+    def _drop_from_index(self, name: str) -> None:
+        for address in list(self.names_by_address):
+            names = self.names_by_address[address]
+            names.pop(name, None)
+            if not names:
+                del self.names_by_address[address]
--- a/flamingostack/fleet/node.py
+++ b/flamingostack/fleet/node.py
@@ -65,6 +65,7 @@
         "written",
         "claims_revision",
         "revisions_by_claim",
+        "named_numbers",
         "accepted_claims",
         "ready_claims",
         "seen_versions",
@@ -100,6 +101,8 @@
         self.claims_revision = 0
         # The revision of each claim's last change, in the order of the changes.
         self.revisions_by_claim: dict[int, int] = {}
+        # The partitions whose newest claim names this process as holder.
+        self.named_numbers: set[int] = set()
         self.accepted_claims: dict[int, Claim] = {}
         self.ready_claims: dict[int, Claim] = {}
         self.seen_versions: dict[int, int] = {}
@@ -176,6 +179,10 @@
         self.claims_revision += 1
         self.revisions_by_claim.pop(number, None)
         self.revisions_by_claim[number] = self.claims_revision
+        if self.partitions[number].holder.incarnation == self.own.incarnation:
+            self.named_numbers.add(number)
+        else:
+            self.named_numbers.discard(number)
 
     def _accept_claim(self, number: int, claim: Claim) -> None:
         self.accepted_claims[number] = claim
@@ -538,14 +545,12 @@
                 self.ready_claims[number] = claim
 
     def _update_unclaimed(self, now_ns: int) -> None:
-        own = self.own.incarnation
-        self.unclaimed_ns = {
-            (number, claim_of(partition)): self.unclaimed_ns.get(
-                (number, claim_of(partition)), now_ns
-            )
-            for number, partition in self.partitions.items()
-            if partition.holder.incarnation == own and number not in self.accepted_claims
-        }
+        claims = [
+            (number, claim_of(self.partitions[number]))
+            for number in sorted(self.named_numbers)
+            if number not in self.accepted_claims
+        ]
+        self.unclaimed_ns = {claim: self.unclaimed_ns.get(claim, now_ns) for claim in claims}
 
     def _resolve_holders(self, partition: pb.Partition, now_ns: int) -> None:
         """Drop the previous holders that can send nothing at all any more."""
