Replace the byte counter's file as a whole

Cause: one of five runs of measure_control(6) ended with IndexError, because sum_bytes read a file that its writer had just emptied.

Change: the counts are written beside the file and moved over it.

--- a/bench/byte_counter.py
+++ b/bench/byte_counter.py
@@ -44,7 +44,10 @@
 def write_counts(counter: Counter, path: Path) -> None:
     """Keep the newest counts in a file until the process ends."""
     while True:
-        path.write_text(f"{counter.received} {counter.reads}")
+        # Replaced as a whole, so that a reader never sees an empty file.
+        partial = path.with_suffix(".partial")
+        partial.write_text(f"{counter.received} {counter.reads}")
+        partial.replace(path)
         time.sleep(WRITE_EVERY_S)
 
 
