--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -228,7 +228,7 @@
         searchers: fields of SearcherConfig that replace those of all searchers.
         preset: the preset put and used at start; "" starts without one.
         wrapper: arguments of a program that runs an instance's module, such as
-            ["-m", "tests.proofs.mutants", "no-fence"]; empty: the module itself.
+            ["-m", "standins.mutants", "no-fence"]; empty: the module itself.
     """
 
     def __init__(
--- a/tests/proofs/mutants.py
+++ b/standins/mutants.py
@@ -3,7 +3,7 @@
 A proof that passes must fail when the mechanism it proves is off. The product has no switches for
 that, so this module replaces the mechanism in the process that it runs:
 
-    python -m tests.proofs.mutants no-fence flamingostack.dispatch --settings a.toml
+    python -m standins.mutants no-fence flamingostack.dispatch --settings a.toml
 """
 
 from __future__ import annotations
--- a/tests/proofs/support.py
+++ b/tests/proofs/support.py
@@ -212,7 +212,7 @@
     async def start(self, mutant: str = "", **options: Any) -> Cluster:
         """Return a ready cluster that ends with the test."""
         if mutant:
-            options["wrapper"] = ["-m", "tests.proofs.mutants", mutant]
+            options["wrapper"] = ["-m", "standins.mutants", mutant]
         cluster = await self.enterAsyncContext(Cluster(options.pop("deployment", SMALL), **options))
         await until_balanced(cluster)
         await until_whole(cluster)
