--- a/standins/demo.py
+++ b/standins/demo.py
@@ -294,6 +294,8 @@
     print("starting the platform, the searchers and 3 instances", flush=True)
     async with Cluster(deployment, searchers={"straggler_one_in": 100}) as cluster:
         print(f"instances: {', '.join(cluster.instances)}; logs in {cluster.log_dir}", flush=True)
+        control = next(iter(cluster.instances.values())).addresses["control"]
+        print(f"export FLAMINGOSTACK_CONTROL={control}", flush=True)
         demo = Demo(cluster)
         try:
             await demo.run(seconds)
