Tell random refusals from full queues, and spend extra sends where an answer needs them

Ruled out: full queues. The refusals report 0 of 2 slots in use (1,400 of 1,818 in the log).

Change: a refusal counts as overload only if the target reports its slots as taken. A target that refuses at random may be tried again. The last 40% of the budget is kept for parts without which there are too few for an answer. A failure weighs the more, the more of the budget is spent.

--- a/flamingostack/gateway/budget.py
+++ b/flamingostack/gateway/budget.py
@@ -72,6 +72,11 @@
         """Return the extra sends in the last window."""
         return len(self._budget(service, now).extras)
 
+    def spent_share(self, service: str, now: float) -> float:
+        """Return which share of the allowance is spent, from 0 to 1."""
+        allowance = self.allowance(service, now)
+        return min(self.spent(service, now) / allowance, 1.0) if allowance >= 1 else 1.0
+
     def _budget(self, service: str, now: float) -> ServiceBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
--- a/flamingostack/gateway/fanout.py
+++ b/flamingostack/gateway/fanout.py
@@ -129,6 +129,21 @@
         """How many parts are in."""
         return sum(part.state is PartState.ANSWERED for part in self.parts)
 
+    def is_needed(self, part: Part, now: float) -> bool:
+        """Tell whether there may be too few parts for an answer without another send of this one.
+
+        Parts in flight count unless they take longer than usual.
+        """
+        expected = 0
+        for other in self.parts:
+            if other is part:
+                continue
+            is_on_time = other.in_flight and (
+                self.hedge_after_s is None or now - other.last_sent_at < self.hedge_after_s
+            )
+            expected += other.state is PartState.ANSWERED or bool(is_on_time)
+        return expected < self.needed
+
     def decide(self, now: float) -> Decision:
         """Return what to do now."""
         answered = lost = 0
--- a/flamingostack/gateway/placement.py
+++ b/flamingostack/gateway/placement.py
@@ -24,8 +24,10 @@
 STALL_S = 0.15
 # A cold target takes about 1.6 times as long.
 COLD_SLOWDOWN = 1.6
-# What a failed send costs, in usual latencies: its own time and that of another send.
+# What a failed send costs, in usual latencies: its own time and that of another send; and what
+# it costs beyond that when no budget for another send is left, so that the part is lost.
 FAILURE_LATENCIES = 6.0
+LOST_PART_LATENCIES = 24.0
 # Share of one latency that each request in flight adds at a target with free slots.
 SHARING_COST = 0.3
 # Spreads sends over targets that look alike.
@@ -57,18 +59,22 @@
     own_domain: str,
     now: float,
     excluded: Iterable[Target] = (),
+    budget_spent: float = 0.0,
     cold_sends_per_s: int | None = None,
 ) -> Target | None:
     """Return the target with the least expected time to an answer; None if none can be used.
 
-    `latency_s` is the usual latency of the route; `excluded` are targets that were tried before.
+    `latency_s` is the usual latency of the route; `excluded` are targets that were tried before;
+    `budget_spent` is the share of the budget of extra sends that is used up, from 0 to 1.
     """
+    failure_s = latency_s * (FAILURE_LATENCIES + LOST_PART_LATENCIES * min(budget_spent, 1.0))
     best = None
     best_cost = float("inf")
     for target in targets:
         if target in excluded or not can_take(target, now, cold_sends_per_s):
             continue
         cost = expected_s(target, latency_s, own_domain, now)
+        cost += target.current_failure_rate(now) * failure_s
         cost *= 1 + random.random() * JITTER
         if cost < best_cost:
             best, best_cost = target, cost
@@ -102,7 +108,6 @@
     expected = service_s * (1 + queued / slots + SHARING_COST * min(busy, slots) / slots)
     if target.oldest_wait_s(now) > max(STALLED_LATENCIES * service_s, STALLED_MIN_S):
         expected += STALL_S
-    expected += target.current_failure_rate(now) * FAILURE_LATENCIES * latency_s
     if target.entry.failure_domain != own_domain:
         expected += FOREIGN_ROUND_TRIP_S + FOREIGN_PENALTY * latency_s
     return expected
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -15,8 +15,8 @@
 # Sends whose result is not needed any more may finish for so long, since closing their connections
 # would cost a new one each.
 LINGER_S = 0.35
-# Of the budget, the rest is kept for parts that have failed.
-HEDGE_BUDGET_SHARE = 0.7
+# Of the budget, the rest is kept for parts without which there is no answer at all.
+OPTIONAL_BUDGET_SHARE = 0.6
 # Of the time limit, this much is kept for the answer's way back to the caller.
 ANSWER_RESERVE_S = 0.015
 # Below this, no target can answer any more.
@@ -66,6 +66,7 @@
         "results_by_service",
         "extra_sends",
         "failures",
+        "overloaded_sends",
         "_results",
         "_tasks",
         "_loop",
@@ -82,6 +83,7 @@
         self.results_by_service: dict[str, SendResult] = {}
         self.extra_sends = 0
         self.failures: list[str] = []
+        self.overloaded_sends = 0
         self._loop = asyncio.get_running_loop()
         self._results: asyncio.Queue[tuple[Part, Target, SendResult]] = asyncio.Queue()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -132,6 +134,7 @@
             own_domain=gateway.settings.failure_domain,
             now=now,
             excluded=part.tried,
+            budget_spent=gateway.budget.spent_share(part.service, now),
             cold_sends_per_s=gateway.cold_sends_per_s(part.service),
         )
         time_left_s = self.plan.limit_at - now
@@ -140,7 +143,7 @@
             self.plan.on_blocked(part, has_more, now)
             return
         if part.is_extra:
-            share = HEDGE_BUDGET_SHARE if part.in_flight else 1.0
+            share = 1.0 if self.plan.is_needed(part, now) else OPTIONAL_BUDGET_SHARE
             if not gateway.budget.try_take(part.service, now, share):
                 self.plan.on_blocked(part, True, now)
                 return
@@ -178,8 +181,13 @@
             outcome=result.outcome.value,
             status=result.status,
             elapsed_ms=round(result.elapsed_s * 1000),
+            load=result.describe_load(),
             detail=result.detail,
         )
+        self.overloaded_sends += result.is_overloaded
+        if result.outcome is SendOutcome.SHED and not result.is_overloaded:
+            # It refused at random, so it may accept the next request.
+            part.tried.remove(target)
         self.plan.on_failed(part, has_run=result.outcome not in NOT_RUN_OUTCOMES)
 
     def _is_final(self, result: SendResult) -> bool:
--- a/flamingostack/gateway/sender.py
+++ b/flamingostack/gateway/sender.py
@@ -69,6 +69,19 @@
         self.body = body
         self.detail = detail
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether the target refused because its slots were taken, as far as it says."""
+        if self.outcome is not SendOutcome.SHED:
+            return False
+        load = read_load(self.headers)
+        return load is None or load.running + load.waiting >= load.slots
+
+    def describe_load(self) -> str:
+        """Return the load that the target reported, for a log line."""
+        load = read_load(self.headers) if self.headers is not None else None
+        return f"{load.running},{load.waiting},{load.slots}" if load else ""
+
 
 class OutgoingRequest:
     """What is forwarded of a caller's request; `path` is as the caller sent it."""
@@ -212,7 +225,7 @@
         case SendOutcome.ANSWERED:
             target.record_answer(result.elapsed_s / latency_s, load, now)
         case SendOutcome.SHED:
-            target.record_shed(load, now)
+            target.record_shed(load, now, result.is_overloaded)
         case SendOutcome.WRONG_TARGET:
             target.is_misdirected = True
         case SendOutcome.TIMED_OUT:
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -164,9 +164,8 @@
         plan = make_plan(gateway, route, services, min_coverage, caller)
         run = QueryRun(gateway, request, route, plan)
         failure = await run.run()
-        lost_to_load = any("shed" in text for text in run.failures) and (
-            failure is not None or plan.answered < len(services)
-        )
+        is_whole = failure is None and plan.answered == len(services)
+        lost_to_load = bool(run.overloaded_sends) and not is_whole
     finally:
         overload.leave(lost_to_load, gateway.now())
     if failure is not None:
--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -142,12 +142,13 @@
             backoff = min(FIRST_BACKOFF_S * 2 ** min(excess, 10), MAX_BACKOFF_S)
             self.paused_until = now + backoff
 
-    def record_shed(self, load: TargetLoad | None, now: float) -> None:
-        """Count a refusal by the target itself."""
+    def record_shed(self, load: TargetLoad | None, now: float, is_overloaded: bool) -> None:
+        """Count a refusal by the target itself; one with free slots may accept the next request."""
         rate = self.current_failure_rate(now)
         self.failure_rate = rate + (1 - rate) * FAILURE_WEIGHT
         self.failure_at = now
-        self.paused_until = max(self.paused_until, now + SHED_BACKOFF_S)
+        if is_overloaded:
+            self.paused_until = max(self.paused_until, now + SHED_BACKOFF_S)
         if load is not None:
             self.load = load
             self.load_at = now
--- a/tests/gateway/test_fanout.py
+++ b/tests/gateway/test_fanout.py
@@ -110,6 +110,17 @@
         self.assertEqual(sends, 4)
         self.assertIsInstance(plan.decide(0.0), GiveUp)
 
+    def test_failed_part_is_needed_only_when_too_few_others_are_left(self):
+        plan = make_plan()
+        parts = send_all(plan, 0.0)
+        plan.on_failed(parts[0], has_run=False)
+        self.assertFalse(plan.is_needed(parts[0], 0.01))
+        plan.on_failed(parts[1], has_run=False)
+        self.assertTrue(plan.is_needed(parts[0], 0.01))
+        send_all(plan, 0.01)
+        # The other parts are late now, so that each one counts.
+        self.assertTrue(plan.is_needed(parts[0], 0.2))
+
     def test_request_that_may_run_once_is_not_sent_again(self):
         plan = make_plan(parts=1, min_coverage=1.0, max_sends=1, hedge_after_s=None)
         (part,) = send_all(plan, 0.0)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -63,10 +63,17 @@
 
     def test_target_that_sheds_half_of_its_requests_is_left(self):
         for _ in range(4):
-            self.near.record_shed(None, 1.0)
+            self.near.record_shed(None, 1.0, False)
             self.near.record_answer(1.0, None, 1.0)
         self.assertIs(choose(self.targets, 1.1), self.far)
 
+    def test_only_a_full_target_is_paused_after_its_refusal(self):
+        self.near.record_shed(TargetLoad(0, 0, 6), 1.0, False)
+        self.assertIs(choose([self.near], 1.0), self.near)
+        self.near.record_shed(TargetLoad(6, 9, 6), 1.0, True)
+        self.assertIsNone(choose([self.near], 1.0))
+        self.assertIs(choose([self.near], 1.1), self.near)
+
     def test_dead_target_pauses_longer_at_each_failure(self):
         pauses = []
         for _ in range(8):
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -340,6 +340,22 @@
         _, headers, _ = await running.get("/all/x")
         self.assertNotIn(self.targets[4].id, headers["X-Part-Stamps"])
 
+    async def test_targets_that_refuse_at_random_are_tried_again_and_admission_stays_open(self):
+        refused = {}
+
+        async def shed_first(target, request):
+            if request.headers["X-Request-Id"] in refused.setdefault(target.id, set()):
+                return target.answer(request)
+            refused[target.id].add(request.headers["X-Request-Id"])
+            headers = {"X-Not-Executed": "1", "X-Server-Load": "0,0,4"}
+            return web.Response(status=503, headers=headers)
+
+        running = await self.serve_shards([None] * 3 + [shed_first, shed_first])
+        for number in range(12):
+            status, _, _ = await running.get("/all/x", request_id=f"r{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual(running.gateway.overload("s0").limit, float("inf"))
+
     async def test_too_few_parts_are_no_success(self):
         running = await self.serve_shards([None] * 3 + [crash, crash])
         status, headers, _ = await running.get("/all/x")
