Hedge later when the budget is spent

Ruled out: no hedges at all while the budget is scarce; a paused part would then be lost.

Change: a send counts as late between the 90th percentile, with an unused budget, and the last moment at which another target can make the goal, with a spent one. Failure rates are kept for longer (half-life 4 s) than slowdowns (2.5 s).

--- a/flamingostack/gateway/fanout.py
+++ b/flamingostack/gateway/fanout.py
@@ -42,6 +42,7 @@
         "not_run",
         "in_flight",
         "last_sent_at",
+        "hedge_at",
         "next_try_at",
         "blocked_since",
         "tried",
@@ -55,6 +56,8 @@
         self.not_run = 0
         self.in_flight = 0
         self.last_sent_at = 0.0
+        # When it counts as late and may be sent again, though it is in flight.
+        self.hedge_at = 0.0
         self.next_try_at = 0.0
         self.blocked_since: float | None = None
         self.tried: list[Target] = []
@@ -104,7 +107,7 @@
 class FanOutPlan:
     """State of one request and the decisions on it; without input and output."""
 
-    __slots__ = ("parts", "needed", "max_sends", "goal_at", "limit_at", "hedge_after_s")
+    __slots__ = ("parts", "needed", "max_sends", "goal_at", "limit_at", "may_hedge")
 
     def __init__(
         self,
@@ -114,15 +117,15 @@
         max_sends: int,
         goal_at: float,
         limit_at: float,
-        hedge_after_s: float | None,
+        may_hedge: bool,
     ) -> None:
         self.parts = [Part(service) for service in services]
         self.needed = max(min_parts(len(services), min_coverage), 1)
         self.max_sends = max_sends
         self.goal_at = goal_at
         self.limit_at = limit_at
-        # None if a part may not be sent again while it is in flight.
-        self.hedge_after_s = hedge_after_s
+        # Whether a part may be sent again while it is in flight.
+        self.may_hedge = may_hedge
 
     @property
     def answered(self) -> int:
@@ -132,16 +135,13 @@
     def is_needed(self, part: Part, now: float) -> bool:
         """Tell whether there may be too few parts for an answer without another send of this one.
 
-        Parts in flight count unless they take longer than usual.
+        Parts in flight count unless they are late.
         """
         expected = 0
         for other in self.parts:
-            if other is part:
-                continue
-            is_on_time = other.in_flight and (
-                self.hedge_after_s is None or now - other.last_sent_at < self.hedge_after_s
-            )
-            expected += other.state is PartState.ANSWERED or bool(is_on_time)
+            if other is not part:
+                is_on_time = other.in_flight > 0 and now < other.hedge_at
+                expected += other.state is PartState.ANSWERED or is_on_time
         return expected < self.needed
 
     def decide(self, now: float) -> Decision:
@@ -173,11 +173,12 @@
             return GiveUp(is_late=True)
         return Send(due) if due else Wait(wake_at)
 
-    def on_sent(self, part: Part, target: Target, now: float) -> None:
-        """Count a send."""
+    def on_sent(self, part: Part, target: Target, now: float, hedge_after_s: float) -> None:
+        """Count a send, which is late after `hedge_after_s`."""
         part.sends += 1
         part.in_flight += 1
         part.last_sent_at = now
+        part.hedge_at = now + hedge_after_s
         part.next_try_at = 0.0
         part.blocked_since = None
         part.tried.append(target)
@@ -213,9 +214,7 @@
             return None
         if not part.in_flight:
             return part.next_try_at
-        if self.hedge_after_s is None:
-            return None
-        return max(part.last_sent_at + self.hedge_after_s, part.next_try_at)
+        return max(part.hedge_at, part.next_try_at) if self.may_hedge else None
 
 
 def min_parts(total: int, min_coverage: float) -> int:
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -7,9 +7,9 @@
 from ..errors import Failure, Reason
 from .fanout import GOAL_SHARE, Answer, FanOutPlan, GiveUp, Part, PartState, Send, Wait
 from .model import Route
-from .placement import choose_target
+from .placement import FOREIGN_ROUND_TRIP_S, choose_target
 from .sender import NOT_RUN_OUTCOMES, OutgoingRequest, SendOutcome, SendResult
-from .state import Gateway
+from .state import MIN_HEDGE_LATENCIES, Gateway
 from .targets import Target
 
 # Sends whose result is not needed any more may finish for so long, since closing their connections
@@ -127,6 +127,7 @@
 
     def _send(self, part: Part, now: float) -> None:
         gateway = self.gateway
+        budget_spent = gateway.budget.spent_share(part.service, now)
         targets = gateway.directory.usable(part.service)
         target = choose_target(
             targets,
@@ -134,7 +135,7 @@
             own_domain=gateway.settings.failure_domain,
             now=now,
             excluded=part.tried,
-            budget_spent=gateway.budget.spent_share(part.service, now),
+            budget_spent=budget_spent,
             cold_sends_per_s=gateway.cold_sends_per_s(part.service),
         )
         time_left_s = self.plan.limit_at - now
@@ -148,11 +149,21 @@
                 self.plan.on_blocked(part, True, now)
                 return
             self._note_extra(part, target, now)
-        self.plan.on_sent(part, target, now)
+        self.plan.on_sent(part, target, now, self._hedge_after_s(budget_spent, now))
         task = self._loop.create_task(self._run_send(part, target, time_left_s, now))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _hedge_after_s(self, budget_spent: float, now: float) -> float:
+        """Return after how long a send counts as late: the later, the less budget is left.
+
+        The latest moment is that at which another target can still answer before the goal.
+        """
+        earliest = self.stats.hedge_after_s(self.route, now)
+        latency_s = self.stats.usual_latency_s(self.route, now)
+        latest = self.plan.goal_at - now - latency_s * MIN_HEDGE_LATENCIES - FOREIGN_ROUND_TRIP_S
+        return earliest + max(latest - earliest, 0.0) * budget_spent
+
     async def _run_send(self, part: Part, target: Target, time_left_s: float, now: float) -> None:
         latency_s = self.stats.usual_latency_s(self.route, now)
         result = await self.gateway.sender.send(self.request, target, time_left_s, latency_s)
@@ -227,7 +238,6 @@
     gateway: Gateway, route: Route, services: list[str], min_coverage: float, caller: Caller
 ) -> FanOutPlan:
     """Return the plan of a request that arrived just now."""
-    now = gateway.now()
     stats = gateway.stats(route)
     stats.max_time_left_s = max(stats.max_time_left_s, caller.time_left_s)
     # A caller that has tried before has less time left than others; its goal began back then.
@@ -240,5 +250,5 @@
         max_sends=route.max_sends if route.is_idempotent else 1,
         goal_at=caller.arrived_at + goal_s * GOAL_SHARE,
         limit_at=caller.arrived_at + limit_s - ANSWER_RESERVE_S,
-        hedge_after_s=stats.hedge_after_s(route, now) if route.is_idempotent else None,
+        may_hedge=route.is_idempotent,
     )
--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -11,8 +11,9 @@
 from .model import TargetEntry, TargetLoad
 
 # Half of an observed slowdown or failure rate is forgotten in this time, so that a target that has
-# recovered is tried again.
-FORGET_HALF_LIFE_S = 2.5
+# recovered is tried again. A failed try costs another send, a slow one often only time.
+SLOWDOWN_HALF_LIFE_S = 2.5
+FAILURE_HALF_LIFE_S = 4.0
 SLOWDOWN_WEIGHT = 0.3
 FAILURE_WEIGHT = 0.25
 MAX_SLOWDOWN = 20.0
@@ -104,11 +105,11 @@
 
     def current_slowdown(self, now: float) -> float:
         """Return the slowdown that is still to be expected."""
-        return 1 + (self.slowdown - 1) * decay(now - self.slowdown_at)
+        return 1 + (self.slowdown - 1) * decay(now - self.slowdown_at, SLOWDOWN_HALF_LIFE_S)
 
     def current_failure_rate(self, now: float) -> float:
         """Return the share of sends that is still to be expected to fail."""
-        return self.failure_rate * decay(now - self.failure_at)
+        return self.failure_rate * decay(now - self.failure_at, FAILURE_HALF_LIFE_S)
 
     def current_load(self, now: float) -> TargetLoad | None:
         """Return the reported load, unless it is too old."""
@@ -154,6 +155,6 @@
             self.load_at = now
 
 
-def decay(elapsed_s: float) -> float:
+def decay(elapsed_s: float, half_life_s: float) -> float:
     """Return what is left of an observation after `elapsed_s`, from 1 down to 0."""
-    return math.exp2(-max(elapsed_s, 0.0) / FORGET_HALF_LIFE_S)
+    return math.exp2(-max(elapsed_s, 0.0) / half_life_s)
--- a/tests/gateway/test_fanout.py
+++ b/tests/gateway/test_fanout.py
@@ -28,7 +28,7 @@
             "max_sends": 2,
             "goal_at": GOAL_AT,
             "limit_at": LIMIT_AT,
-            "hedge_after_s": HEDGE_AFTER_S,
+            "may_hedge": True,
         }
         | fields,
     )
@@ -37,7 +37,7 @@
 def send_all(plan: FanOutPlan, now: float) -> list:
     decision = plan.decide(now)
     for part in decision.parts:
-        plan.on_sent(part, None, now)
+        plan.on_sent(part, None, now, HEDGE_AFTER_S)
     return decision.parts
 
 
@@ -122,7 +122,7 @@
         self.assertTrue(plan.is_needed(parts[0], 0.2))
 
     def test_request_that_may_run_once_is_not_sent_again(self):
-        plan = make_plan(parts=1, min_coverage=1.0, max_sends=1, hedge_after_s=None)
+        plan = make_plan(parts=1, min_coverage=1.0, max_sends=1, may_hedge=False)
         (part,) = send_all(plan, 0.0)
         self.assertIsInstance(plan.decide(0.9), Wait)
         plan.on_failed(part, has_run=True)
@@ -143,7 +143,7 @@
                 case Send(parts=due):
                     for part in due:
                         if data.draw(st.booleans()):
-                            plan.on_sent(part, None, now)
+                            plan.on_sent(part, None, now, HEDGE_AFTER_S)
                         else:
                             plan.on_blocked(part, data.draw(st.booleans()), now)
                 case Wait(until=until):
