Use fewer connections, refuse fewer whole requests, and call refused callers back sooner

Ruled out: the answers' own time.

Change: all instances together use half of a target's connections. Only a request without an answer counts as lost to overload. Retry-After is 0.2 to 0.5 of the route's goal.

--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -24,9 +24,10 @@
 )
 # A header field, or the request line, may fill the whole header.
 MAX_HEADER_FIELDS = 256
-# How long a refused caller stays away: short enough to be served within its goal, and spread.
-RETRY_AFTER_S = 0.1
-RETRY_AFTER_SPREAD_S = 0.15
+# How long a refused caller stays away, in shares of the route's goal: short enough to be served
+# within it, and spread so that callers that were refused together do not return together.
+RETRY_AFTER_GOAL_SHARE = 0.2
+RETRY_AFTER_SPREAD_SHARE = 0.3
 # Without a configuration nothing is served before the store answers.
 NOT_READY_RETRY_AFTER_S = 0.5
 
@@ -164,8 +165,8 @@
         plan = make_plan(gateway, route, services, min_coverage, caller)
         run = QueryRun(gateway, request, route, plan)
         failure = await run.run()
-        is_whole = failure is None and plan.answered == len(services)
-        lost_to_load = bool(run.overloaded_sends) and not is_whole
+        # A merged answer that lacks an overloaded shard is no loss to the other shards.
+        lost_to_load = failure is not None and run.overloaded_sends > 0
     finally:
         overload.leave(lost_to_load, gateway.now())
     if failure is not None:
@@ -229,7 +230,8 @@
     status = 503 if failure.is_not_run else STATUS_BY_REASON[failure.reason]
     retry_after_s = None
     if failure.is_not_run:
-        retry_after_s = RETRY_AFTER_S + random.random() * RETRY_AFTER_SPREAD_S
+        share = RETRY_AFTER_GOAL_SHARE + random.random() * RETRY_AFTER_SPREAD_SHARE
+        retry_after_s = route.goal_s * share
     report(
         gateway,
         request,
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -25,8 +25,9 @@
 MEDIAN_PERCENT = 50.0
 # The hedge must still have the usual latency left until the goal.
 MIN_HEDGE_LATENCIES = 1.4
-# Connections of a target that stay free for instances that have not been noticed yet.
-CONNECTION_SHARE = 0.85
+# Share of a target's connection cap that all instances use. After a power loss of all instances the
+# target still counts the connections from before, and the new ones have to fit in beside them.
+CONNECTION_SHARE = 0.5
 
 
 class RouteStats:
