--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -25,6 +25,8 @@
 WATCH_PAUSE_S = 0.15
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
+# An instance that has just started serves nothing before it knows the configuration.
+MAX_START_BACKOFF_S = 0.4
 
 
 class Feed:
@@ -60,7 +62,8 @@
                 continue
             self.note_failure(failure)
             await asyncio.sleep(backoff_s * (0.5 + random.random()))
-            backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+            limit_s = MAX_BACKOFF_S if self.gateway.is_ready else MAX_START_BACKOFF_S
+            backoff_s = min(backoff_s * 2, limit_s)
 
     async def step(self) -> None | StoreFailure:
         """List, or wait for the next changes, and apply them."""
