Refuse a request before it starts when too few of its shards have room

Ruled out: the budget of extra sends; the parts that were given up had never been sent.

Change: a request starts only if enough of its parts have a target that can take them; else it is refused as not run. A part that an answer needs waits for room until the goal while others are under way. Beyond the usual connections (half of the cap) more are opened, up to 70%, when no other target is better. Bounds can change while the process runs.

Conclusion: the overload is now turned away before it costs other requests their room.

--- a/flamingostack/gateway/fanout.py
+++ b/flamingostack/gateway/fanout.py
@@ -17,7 +17,8 @@
 GOAL_SHARE = 0.9
 # How soon a part is tried again for which no target or no budget was free.
 BLOCKED_RETRY_S = 0.015
-# A part for which no target was free for so long is given up.
+# A part for which no target was free for so long is given up, unless an answer needs it and other
+# parts are under way.
 BLOCKED_LIMIT_S = 0.045
 # Sends that did not run do not count towards the sends allowed, but end somewhere.
 MAX_NOT_RUN = 3
@@ -173,6 +174,14 @@
             return GiveUp(is_late=True)
         return Send(due) if due else Wait(wake_at)
 
+    def can_start(self, free_by_part: list[bool]) -> bool:
+        """Tell whether enough parts have a target that can take them now.
+
+        Load pattern answered: all targets of several shards are full. Parts that are sent although
+        the request must fail take the room of requests that need not.
+        """
+        return sum(free_by_part) >= self.needed
+
     def on_sent(self, part: Part, target: Target, now: float, hedge_after_s: float) -> None:
         """Count a send, which is late after `hedge_after_s`."""
         part.sends += 1
@@ -188,9 +197,12 @@
         if part.blocked_since is None:
             part.blocked_since = now
         part.next_try_at = now + BLOCKED_RETRY_S
-        is_over = not has_targets or now - part.blocked_since >= BLOCKED_LIMIT_S
-        if is_over and not part.in_flight:
-            part.state = PartState.LOST
+        if part.in_flight or (has_targets and now - part.blocked_since < BLOCKED_LIMIT_S):
+            return
+        is_under_way = any(other.in_flight for other in self.parts)
+        if has_targets and is_under_way and now < self.goal_at and self.is_needed(part, now):
+            return
+        part.state = PartState.LOST
 
     def on_answered(self, part: Part) -> None:
         """Count an answer; only the first one of a part matters."""
--- a/flamingostack/gateway/placement.py
+++ b/flamingostack/gateway/placement.py
@@ -30,6 +30,9 @@
 LOST_PART_LATENCIES = 24.0
 # Share of one latency that each request in flight adds at a target with free slots.
 SHARING_COST = 0.3
+# A connection beyond the usual ones is opened only if other targets are that much slower, in usual
+# latencies.
+CONNECTION_LATENCIES = 1.5
 # Spreads sends over targets that look alike.
 JITTER = 0.1
 
@@ -108,6 +111,8 @@
     expected = service_s * (1 + queued / slots + SHARING_COST * min(busy, slots) / slots)
     if target.oldest_wait_s(now) > max(STALLED_LATENCIES * service_s, STALLED_MIN_S):
         expected += STALL_S
+    if target.in_flight >= target.usual_connections:
+        expected += CONNECTION_LATENCIES * latency_s
     if target.entry.failure_domain != own_domain:
         expected += FOREIGN_ROUND_TRIP_S + FOREIGN_PENALTY * latency_s
     return expected
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -7,7 +7,7 @@
 from ..errors import Failure, Reason
 from .fanout import GOAL_SHARE, Answer, FanOutPlan, GiveUp, Part, PartState, Send, Wait
 from .model import Route
-from .placement import FOREIGN_ROUND_TRIP_S, choose_target
+from .placement import FOREIGN_ROUND_TRIP_S, can_take, choose_target
 from .sender import NOT_RUN_OUTCOMES, OutgoingRequest, SendOutcome, SendResult
 from .state import MIN_HEDGE_LATENCIES, Gateway
 from .targets import Target
@@ -92,6 +92,8 @@
         """Carry out the plan; None when the results are to be answered."""
         for part in self.plan.parts:
             self.gateway.budget.count_request(part.service, self.gateway.now())
+        if not self.plan.can_start(self._free_by_part()):
+            return QueryFailure(QueryReason.NO_TARGET, "too few parts have a free target", True)
         try:
             return await self._follow_plan()
         except asyncio.CancelledError:
@@ -125,6 +127,17 @@
         while not self._results.empty():
             self._take(*self._results.get_nowait())
 
+    def _free_by_part(self) -> list[bool]:
+        gateway = self.gateway
+        now = gateway.now()
+        return [
+            any(
+                can_take(target, now, gateway.cold_sends_per_s(part.service))
+                for target in gateway.directory.usable(part.service)
+            )
+            for part in self.plan.parts
+        ]
+
     def _send(self, part: Part, now: float) -> None:
         gateway = self.gateway
         budget_spent = gateway.budget.spent_share(part.service, now)
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -25,9 +25,11 @@
 MEDIAN_PERCENT = 50.0
 # The hedge must still have the usual latency left until the goal.
 MIN_HEDGE_LATENCIES = 1.4
-# Share of a target's connection cap that all instances use. After a power loss of all instances the
-# target still counts the connections from before, and the new ones have to fit in beside them.
-CONNECTION_SHARE = 0.5
+# Shares of a target's connection cap that all instances use in ordinary times, and at most. After a
+# power loss of all instances the target still counts the connections from before, and the new ones
+# have to fit in beside them.
+USUAL_CONNECTION_SHARE = 0.5
+MAX_CONNECTION_SHARE = 0.7
 
 
 class RouteStats:
@@ -120,6 +122,14 @@
         self.instances = instances | {self.settings.instance}
         self.update_shares()
 
+    def set_settings(self, settings: InstanceSettings) -> None:
+        """Take over bounds that have changed; addresses stay until the next start."""
+        self.settings = settings
+        self.budget.ratio = settings.extra_send_ratio
+        self.budget.slack = settings.extra_send_slack
+        self.budget.window_s = settings.extra_send_window_s
+        self.update_shares()
+
     def update_shares(self) -> None:
         """Recompute this instance's part of what all instances share."""
         count = len(self.instances)
@@ -134,8 +144,9 @@
         for target in self.directory.targets_by_id.values():
             service = services_by_name.get(target.entry.service)
             if service is not None:
-                share = int(service.max_connections * CONNECTION_SHARE / count)
-                target.max_connections = max(share, 1)
+                share = service.max_connections / count
+                target.usual_connections = max(int(share * USUAL_CONNECTION_SHARE), 1)
+                target.max_connections = max(int(share * MAX_CONNECTION_SHARE), 1)
 
     def cold_sends_per_s(self, service: str) -> int | None:
         """Return how many sends a second a cold target may get; None if there is no limit."""
--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -35,6 +35,7 @@
         "cold_until",
         "in_flight",
         "started_by_send",
+        "usual_connections",
         "max_connections",
         "slowdown",
         "slowdown_at",
@@ -53,6 +54,8 @@
         self.cold_until = now + entry.cold_s
         self.in_flight = 0
         self.started_by_send: dict[int, float] = {}
+        # Connections used in ordinary times, and the most that may be used.
+        self.usual_connections = 1
         self.max_connections = 1
         # Latency relative to the usual one of the route.
         self.slowdown = 1.0
--- a/tests/gateway/test_fanout.py
+++ b/tests/gateway/test_fanout.py
@@ -89,6 +89,26 @@
         plan.on_blocked(parts[1], False, 0.0)
         self.assertFalse(plan.decide(0.0).is_late)
 
+    def test_needed_part_waits_for_room_while_others_are_under_way(self):
+        plan = make_plan()
+        parts = plan.decide(0.0).parts
+        for part in parts[2:]:
+            plan.on_sent(part, None, 0.0, HEDGE_AFTER_S)
+        for now in (0.0, 0.06):
+            plan.on_blocked(parts[0], True, now)
+            plan.on_blocked(parts[1], True, now)
+        # Nine parts are needed, and without a further send of each of them there may be only eight.
+        states = [part.state for part in parts[:2]]
+        self.assertEqual(states, [PartState.OPEN, PartState.OPEN])
+        plan.on_answered(parts[2])
+        plan.on_blocked(parts[0], True, GOAL_AT)
+        self.assertEqual(parts[0].state, PartState.LOST)
+
+    def test_request_that_must_fail_is_not_begun(self):
+        plan = make_plan()
+        self.assertTrue(plan.can_start([True] * 9 + [False]))
+        self.assertFalse(plan.can_start([True] * 8 + [False] * 2))
+
     def test_part_without_a_free_target_is_given_up_soon(self):
         plan = make_plan(parts=1, min_coverage=1.0)
         now = 0.0
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -26,6 +26,7 @@
         | fields
     )
     target = Target(entry, now)
+    target.usual_connections = 3
     target.max_connections = 5
     return target
 
@@ -97,6 +98,13 @@
         misdirected.is_misdirected = True
         self.assertIsNone(choose([leaving, misdirected]))
 
+    def test_more_connections_than_usual_are_opened_only_when_others_are_no_better(self):
+        self.near.in_flight = 3
+        self.far.entry.slots = self.near.entry.slots = 20
+        self.assertIs(choose(self.targets), self.far)
+        self.far.in_flight = 3
+        self.assertIs(choose(self.targets), self.near)
+
     def test_equal_targets_share_the_work(self):
         targets = [make_target(str(number)) for number in range(3)]
         counts = dict.fromkeys(targets, 0)
