Bound the logs, reload settings, and outlive faults in a feed

Cause: a reader that does not read, or a burst of failures, could hold the process up or fill a disk; SIGHUP only wrote a line; an exception on one object ended its feed without a word; and a store that was silent without failing a call made lapsed entries vanish at once.

Ruled out: a thread for the logs.

Settings are read again at SIGHUP, and compared each 5 s. A feed logs a fault and lists its kind again.

--- a/flamingostack/gateway/directory.py
+++ b/flamingostack/gateway/directory.py
@@ -35,6 +35,11 @@
             return targets
         return [t for t in targets if t.entry.failure_domain not in self.evacuated_domains]
 
+    def is_serving(self, target_id: str) -> bool:
+        """Tell whether a target is known and has not announced that it leaves."""
+        target = self.targets_by_id.get(target_id)
+        return target is not None and not target.entry.is_draining
+
     def put(self, entry: TargetEntry, now: float) -> Target:
         """Add a target, or take over its newer entry."""
         self._removals_by_id.pop(entry.id, None)
--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -23,6 +23,8 @@
 WATCH_WAIT_S = 8.0
 # Changes that come in quick succession are fetched together.
 WATCH_PAUSE_S = 0.15
+# So many entries that vanish together without having announced it point to an outage of the store.
+LAPSED_TOGETHER = 3
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 # An instance that has just started serves nothing before it knows the configuration.
@@ -32,7 +34,16 @@
 class Feed:
     """Keeps the gateway's picture of one kind of objects up to date."""
 
-    __slots__ = ("gateway", "store", "kind", "apply_list", "apply_changes", "revision", "lost_at")
+    __slots__ = (
+        "gateway",
+        "store",
+        "kind",
+        "apply_list",
+        "apply_changes",
+        "revision",
+        "is_lost",
+        "failed_at",
+    )
 
     def __init__(
         self,
@@ -48,14 +59,21 @@
         self.apply_list = apply_list
         self.apply_changes = apply_changes
         self.revision: int | None = None
+        self.is_lost = False
         # When the store last failed to answer, in seconds of the event loop's clock.
-        self.lost_at: float | None = None
+        self.failed_at = float("-inf")
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         backoff_s = FIRST_BACKOFF_S
         while True:
-            failure = await self.step()
+            try:
+                failure = await self.step()
+            except Exception:
+                # A fault on one object must not end the feed; everything is read again.
+                self.gateway.log.exception("feed_failed", kind=self.kind, revision=self.revision)
+                self.revision = None
+                failure = StoreFailure(StoreReason.UNAVAILABLE, "feed failed")
             if failure is None:
                 backoff_s = FIRST_BACKOFF_S
                 await asyncio.sleep(WATCH_PAUSE_S)
@@ -81,7 +99,7 @@
 
     def apply(self, result: StoredRecords) -> None:
         """Take over what the store answered."""
-        was_away = self.lost_at is not None and self.gateway.now() - self.lost_at < OUTAGE_MEMORY_S
+        was_away = self.gateway.now() - self.failed_at < OUTAGE_MEMORY_S
         if self.revision is None:
             self.apply_list(result.records, was_away)
         else:
@@ -90,7 +108,8 @@
 
     def note_failure(self, failure: StoreFailure) -> None:
         """Log the loss of the store once."""
-        if self.lost_at is None:
+        if not self.is_lost:
+            self.is_lost = True
             self.gateway.log.warning(
                 "store_lost",
                 kind=self.kind,
@@ -101,15 +120,12 @@
         self.gateway.metrics.count(
             "gateway_store_failures_total", kind=self.kind, reason=failure.reason.code
         )
-        self.lost_at = self.gateway.now()
+        self.failed_at = self.gateway.now()
 
     def note_answer(self) -> None:
-        """Log the return of the store; the loss is remembered for a while."""
-        if self.lost_at is None:
-            return
-        away_s = self.gateway.now() - self.lost_at
-        if away_s >= OUTAGE_MEMORY_S:
-            self.lost_at = None
+        """Log the return of the store."""
+        if self.is_lost:
+            self.is_lost = False
             self.gateway.log.info("store_regained", kind=self.kind, revision=self.revision)
 
 
@@ -165,11 +181,16 @@
         """Take over changed entries."""
         directory = self.gateway.directory
         now = self.gateway.now()
+        unannounced = sum(
+            record.value is None and directory.is_serving(record.name) for record in records
+        )
+        # A store that was silent for a while has failed no call, but its entries have lapsed.
+        may_return = was_away or unannounced >= LAPSED_TOGETHER
         for record in records:
             if record.value is None:
-                directory.remove(record.name, now, may_return=was_away)
+                directory.remove(record.name, now, may_return)
                 self.gateway.log.info(
-                    "target_removed", target=record.name, revision=record.revision, held=was_away
+                    "target_removed", target=record.name, revision=record.revision, held=may_return
                 )
                 continue
             entry = decode.decode_target(record)
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -12,10 +12,10 @@
 
 from ..entry.shutdown import Phase
 from ..errors import Failure
-from ..logs import configure_logs, make_logger
+from ..logs import BoundedStream, configure_logs, make_logger
 from ..metrics import Metrics
 from ..platform.objects import INSTANCES, ObjectStore
-from ..platform.settings import load_instance_settings
+from ..platform.settings import load_instance_settings, read_settings_text
 from ..status import ExitStatus
 from ..store import StoreFailure
 from .feeds import make_feeds
@@ -33,6 +33,8 @@
 # How soon a connection is closed whose last answer has left, or which was just accepted.
 CLOSE_INTERVAL_S = 0.02
 REGISTER_RETRY_S = 2.0
+# How often the settings file is compared with what was read before.
+SETTINGS_CHECK_S = 5.0
 
 
 async def serve(settings: InstanceSettings) -> ExitStatus:
@@ -43,10 +45,12 @@
     gateway = Gateway(settings, log, Metrics(), loop.time, sender)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, gateway.shutdown.request)
-    loop.add_signal_handler(signal.SIGHUP, log.info, "reload_requested")
+    hangup = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)
     store = ObjectStore(settings.store_url)
     tasks = [asyncio.create_task(feed.run()) for feed in make_feeds(gateway, store)]
     tasks.append(asyncio.create_task(register(gateway, store)))
+    tasks.append(asyncio.create_task(follow_settings(gateway, hangup)))
     server = CallerServer(gateway)
     listener = await listen(server, settings.caller_address)
     await listen(make_readiness_server(gateway), settings.readiness_address)
@@ -81,6 +85,39 @@
         await asyncio.sleep(REGISTER_RETRY_S)
 
 
+async def follow_settings(gateway: Gateway, hangup: asyncio.Event) -> None:
+    """Read the settings again at SIGHUP, and from time to time, since they may change without."""
+    text = read_settings_text(os.environ)
+    while True:
+        is_signalled = False
+        try:
+            async with asyncio.timeout(SETTINGS_CHECK_S):
+                await hangup.wait()
+                is_signalled = True
+                hangup.clear()
+        except TimeoutError:
+            pass
+        current = read_settings_text(os.environ)
+        if current == text and not is_signalled:
+            continue
+        text = current
+        reload_settings(gateway, is_signalled)
+
+
+def reload_settings(gateway: Gateway, is_signalled: bool) -> None:
+    """Put changed settings into force, or log why they are refused."""
+    settings = load_instance_settings(os.environ)
+    if isinstance(settings, Failure):
+        gateway.log.error("reload_refused", detail=settings.message, signalled=is_signalled)
+        return
+    before = gateway.settings
+    changed = [
+        name for name in settings.__slots__ if getattr(settings, name) != getattr(before, name)
+    ]
+    gateway.set_settings(settings)
+    gateway.log.info("reloaded", changed=",".join(changed), signalled=is_signalled)
+
+
 async def shut_down(gateway: Gateway, server: CallerServer, listener: asyncio.Server) -> None:
     """Stop being ready, let running requests finish, and close connections between requests."""
     grace_s = gateway.settings.shutdown_grace_s
@@ -103,7 +140,7 @@
 
 def run() -> ExitStatus:
     """Run the process; return its exit status."""
-    configure_logs("info", sys.stdout)
+    configure_logs("info", BoundedStream(sys.stdout.fileno()))
     settings = load_instance_settings(os.environ)
     if isinstance(settings, Failure):
         print(f"flamingostack-gateway: {settings.message}", file=sys.stderr)
--- a/flamingostack/platform/settings.py
+++ b/flamingostack/platform/settings.py
@@ -14,6 +14,14 @@
 MS_PER_S = 1000
 
 
+def read_settings_text(variables: Mapping[str, str]) -> str | None:
+    """Return the text of the file that the environment variables name; None if it is unreadable."""
+    try:
+        return Path(variables.get(PATH_VARIABLE, DEFAULT_PATH)).read_text()
+    except (OSError, UnicodeDecodeError):
+        return None
+
+
 def load_instance_settings(
     variables: Mapping[str, str],
 ) -> InstanceSettings | Failure[SettingsReason]:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -69,6 +69,14 @@
         self.revision += 1
         self._add_event(kind, self.objects_by_kind[kind].pop(name), True)
 
+    def lapse(self, kind: str, names: list[str]) -> None:
+        """Remove several objects in one step, as heartbeats that are missing together do."""
+        self.revision += 1
+        for name in names:
+            stored = self.objects_by_kind[kind].pop(name)
+            self.events.append((self.revision, kind, stored, True))
+        self._wake()
+
     def forget_history(self) -> None:
         """Drop all events, so that watches from before are refused."""
         self.events.clear()
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -88,11 +88,22 @@
         await wait_until(lambda: directory.next_removal_at is None)
         self.assertIn(target.id, directory.targets_by_id)
 
+    async def test_entries_that_lapsed_together_are_used_until_they_may_be_back(
+        self,
+    ):
+        running = await self.start(4)
+        await self.settle()
+        self.store.lapse("servers", [target.id for target in self.targets])
+        directory = running.gateway.directory
+        await wait_until(lambda: directory.next_removal_at is not None)
+        self.assertEqual((await running.get("/one/x"))[0], 200)
+        await wait_until(lambda: not directory.targets_by_id)
+
     async def test_instances_divide_the_budget_and_the_connections(self):
         running = await self.start()
         for name in ("front-a-2", "front-b-1", "front-b-2"):
             self.store.put("flamingostack-instances", name, {})
         await wait_until(lambda: running.gateway.budget.instances == 4)
         target = running.gateway.directory.targets_by_id[self.targets[0].id]
-        # Half of the cap of 40, over 4 instances.
-        self.assertEqual(target.max_connections, 5)
+        # 50% and 70% of the cap of 40, over 4 instances.
+        self.assertEqual((target.usual_connections, target.max_connections), (5, 7))
--- /dev/null
+++ b/tests/gateway/test_main.py
@@ -0,0 +1,109 @@
+"""Tests of the gateway as a process of its own."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from flamingostack.gateway.main import METRICS_PORT
+from tests.platform.test_settings import LINES
+
+from .fakes import HOST, FakeObjectStore, FakeTarget, make_configuration, make_route, wait_until
+
+ROOT = Path(__file__).resolve().parents[2]
+STOP_S = 10
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a process that does not start, reload or stop as the platform expects."""
+
+    async def asyncSetUp(self):
+        self.store = FakeObjectStore()
+        await self.store.start()
+        self.target = FakeTarget()
+        await self.target.start()
+        self.store.put("servers", self.target.id, self.target.entry("one"))
+        route = make_route("one", service="one")
+        self.store.put("config", "main", make_configuration(3, [route], ["one"]))
+        self.folder = tempfile.TemporaryDirectory()
+        self.path = Path(self.folder.name) / "local.conf"
+        # An address of its own in the loopback range, so that fixed ports are free.
+        self.host = f"127.0.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250 + 1}"
+        self.write_settings("bounds.gracePeriodS=1")
+        self.lines: list[str] = []
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "flamingostack.gateway"),
+            cwd=ROOT,
+            env=os.environ | {"FLAMINGOSTACK_NODE_FILE": str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.reading = asyncio.create_task(self.read_lines())
+
+    async def asyncTearDown(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reading
+        await self.store.stop()
+        await self.target.stop()
+        self.folder.cleanup()
+
+    def write_settings(self, grace: str):
+        text = LINES.replace("10.1.0.39", self.host).replace("bounds.gracePeriodS=6", grace)
+        text = text.replace("10.200.1.7:8229", f"{HOST}:{self.store.port}")
+        self.path.write_text(text)
+
+    async def read_lines(self):
+        async for line in self.process.stdout:
+            self.lines.append(line.decode())
+
+    async def wait_for_event(self, event: str) -> str:
+        await wait_until(lambda: any(f"event='{event}'" in line for line in self.lines))
+        return next(line for line in self.lines if f"event='{event}'" in line)
+
+    async def test_starts_serves_reloads_and_stops(self):
+        await self.wait_for_event("targets_listed")
+        await self.wait_for_event("configuration_applied")
+        headers = {"Host": "search.example", "X-Request-Id": "r1"}
+        async with aiohttp.ClientSession(headers=headers) as session:
+            async with session.get(f"http://{self.host}:8227/-/readiness") as answer:
+                self.assertEqual(answer.status, 200)
+            async with session.get(f"http://{self.host}:8226/one/x") as answer:
+                self.assertEqual(await answer.read(), self.target.record)
+            async with session.get(f"http://{self.host}:{METRICS_PORT}/metrics") as answer:
+                text = await answer.text()
+        self.assertIn('gateway_requests_total{route="one",status="200"} 1', text)
+        self.assertIn("gateway_request_seconds_count", text)
+        self.assertIn("request_id='r1'", await self.wait_for_event("request_answered"))
+        self.write_settings("bounds.gracePeriodS=0.9")
+        self.process.send_signal(signal.SIGHUP)
+        self.assertIn("shutdown_grace_s", await self.wait_for_event("reloaded"))
+        self.write_settings("bounds.gracePeriodS=never")
+        self.process.send_signal(signal.SIGHUP)
+        self.assertIn("gracePeriodS", await self.wait_for_event("reload_refused"))
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(STOP_S):
+            self.assertEqual(await self.process.wait(), 0)
+        await self.wait_for_event("stopped")
+
+
+class DeployTest(unittest.TestCase):
+    """Guards against a deploy file that does not fit the program."""
+
+    def test_deploy_file_names_the_program_and_its_metrics(self):
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        role = deploy["roles"]["gateway"]
+        self.assertEqual(role["run"], "python3 -m flamingostack.gateway")
+        self.assertEqual(role["metrics"], f"{METRICS_PORT}/metrics")
+
+    def test_pinned_requirements_agree_with_the_constraints(self):
+        pinned = (ROOT / "deploy" / "requirements.txt").read_text().split()
+        constraints = (ROOT / "constraints.txt").read_text().split()
+        self.assertEqual([line for line in pinned if line not in constraints], [])
