Let an instance that the store turns away learn from another one

Cause: the store may turn some machines away while it serves the others and the operators. Such an instance kept its old routes, targets and evacuations for as long as that lasted, and one that started then served nothing.

Ruled out: reading the store less strictly (allowStale); it is the same store that refuses.

Change: each instance writes its address into its entry. A feed that fails asks a random other instance for a picture newer than its own; the store's revision orders them. Without news the answer is empty.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -16,6 +16,7 @@
 from ..store import StoreFailure, StoreReason
 from .directory import OUTAGE_MEMORY_S
 from .model import StoredRecord, StoredRecords
+from .relay import PeerClient
 from .state import Gateway
 
 # A watch that is answered by nothing for so long is renewed. A store that has gone silent is
@@ -40,7 +41,9 @@
         "kind",
         "apply_list",
         "apply_changes",
+        "peers",
         "revision",
+        "records_by_name",
         "is_lost",
         "failed_at",
     )
@@ -52,13 +55,17 @@
         kind: str,
         apply_list: Callable[[list[StoredRecord], bool], None],
         apply_changes: Callable[[list[StoredRecord], bool], None],
+        peers: PeerClient,
     ) -> None:
         self.gateway = gateway
         self.store = store
         self.kind = kind
         self.apply_list = apply_list
         self.apply_changes = apply_changes
+        self.peers = peers
+        # None before the first list, and after the store has discarded its history.
         self.revision: int | None = None
+        self.records_by_name: dict[str, StoredRecord] = {}
         self.is_lost = False
         # When the store last failed to answer, in seconds of the event loop's clock.
         self.failed_at = float("-inf")
@@ -79,6 +86,7 @@
                 await asyncio.sleep(WATCH_PAUSE_S)
                 continue
             self.note_failure(failure)
+            await self.ask_peer()
             await asyncio.sleep(backoff_s * (0.5 + random.random()))
             limit_s = MAX_BACKOFF_S if self.gateway.is_ready else MAX_START_BACKOFF_S
             backoff_s = min(backoff_s * 2, limit_s)
@@ -97,13 +105,31 @@
         self.apply(result)
         return None
 
+    async def ask_peer(self) -> None:
+        """Take over the picture of another instance if it is newer."""
+        known = max((r.revision for r in self.records_by_name.values()), default=-1)
+        since = known if self.revision is None else self.revision
+        result = await self.peers.fetch(self.kind, since)
+        if result is None:
+            return
+        self.gateway.log.info(
+            "picture_from_peer", kind=self.kind, before=since, revision=result.revision
+        )
+        self.revision = None
+        self.apply(result)
+
     def apply(self, result: StoredRecords) -> None:
-        """Take over what the store answered."""
+        """Take over a list, or changes since the known revision."""
         was_away = self.gateway.now() - self.failed_at < OUTAGE_MEMORY_S
         if self.revision is None:
             self.apply_list(result.records, was_away)
+            self.records_by_name = {record.name: record for record in result.records}
         else:
             self.apply_changes(result.records, was_away)
+            for record in result.records:
+                self.records_by_name.pop(record.name, None)
+                if record.value is not None:
+                    self.records_by_name[record.name] = record
         self.revision = result.revision
 
     def note_failure(self, failure: StoreFailure) -> None:
@@ -266,45 +292,53 @@
 
 
 class InstanceFeed:
-    """Keeps the set of instances among which limits are divided."""
+    """Keeps the instances among which limits are divided, and their addresses."""
 
-    __slots__ = ("gateway",)
+    __slots__ = ("gateway", "peers")
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Gateway, peers: PeerClient) -> None:
         self.gateway = gateway
+        self.peers = peers
 
     def apply_list(self, records: list[StoredRecord], was_away: bool) -> None:
         """Take over a whole list."""
-        self.replace({record.name for record in records})
+        self.peers.addresses_by_instance.clear()
+        self.replace(set(), records)
 
     def apply_changes(self, records: list[StoredRecord], was_away: bool) -> None:
         """Take over changed entries."""
-        instances = set(self.gateway.instances)
+        self.replace(set(self.gateway.instances), records)
+
+    def replace(self, instances: set[str], records: list[StoredRecord]) -> None:
+        """Divide limits among known instances and those of the records."""
+        addresses_by_instance = self.peers.addresses_by_instance
         for record in records:
             if record.value is None:
                 instances.discard(record.name)
-            else:
-                instances.add(record.name)
-        self.replace(instances)
-
-    def replace(self, instances: set[str]) -> None:
-        """Divide limits among these instances."""
+                addresses_by_instance.pop(record.name, None)
+                continue
+            instances.add(record.name)
+            address = record.value.get("address") if isinstance(record.value, dict) else None
+            if isinstance(address, str) and record.name != self.gateway.settings.instance:
+                addresses_by_instance[record.name] = address
         before = len(self.gateway.instances)
         self.gateway.set_instances(instances)
         self.gateway.log.info("instances_changed", before=before, after=len(self.gateway.instances))
 
 
-def make_feeds(gateway: Gateway, store: ObjectStore) -> list[Feed]:
-    """Return the feeds of all kinds that the gateway follows."""
+def make_feeds(gateway: Gateway, store: ObjectStore, peers: PeerClient) -> dict[str, Feed]:
+    """Return the feeds of all kinds that the gateway follows, by kind."""
     configuration = ConfigurationFeed(gateway)
     targets = TargetFeed(gateway)
     evacuations = EvacuationFeed(gateway)
-    instances = InstanceFeed(gateway)
-    return [
-        Feed(gateway, store, objects.CONFIGURATIONS, configuration.apply, configuration.apply),
-        Feed(gateway, store, objects.TARGETS, targets.apply_list, targets.apply_changes),
-        Feed(
-            gateway, store, objects.EVACUATIONS, evacuations.apply_list, evacuations.apply_changes
-        ),
-        Feed(gateway, store, objects.INSTANCES, instances.apply_list, instances.apply_changes),
-    ]
+    instances = InstanceFeed(gateway, peers)
+    appliers_by_kind = {
+        objects.CONFIGURATIONS: (configuration.apply, configuration.apply),
+        objects.TARGETS: (targets.apply_list, targets.apply_changes),
+        objects.EVACUATIONS: (evacuations.apply_list, evacuations.apply_changes),
+        objects.INSTANCES: (instances.apply_list, instances.apply_changes),
+    }
+    return {
+        kind: Feed(gateway, store, kind, apply_list, apply_changes, peers)
+        for kind, (apply_list, apply_changes) in appliers_by_kind.items()
+    }
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -20,6 +20,7 @@
 from ..store import StoreFailure
 from .feeds import make_feeds
 from .model import Address, InstanceSettings
+from .relay import PeerClient, make_relay_server
 from .sender import Sender
 from .server import CallerServer, make_metrics_server, make_readiness_server
 from .state import Gateway
@@ -48,12 +49,15 @@
     hangup = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
     store = ObjectStore(settings.store_url)
-    tasks = [asyncio.create_task(feed.run()) for feed in make_feeds(gateway, store)]
+    peers = PeerClient()
+    feeds_by_kind = make_feeds(gateway, store, peers)
+    tasks = [asyncio.create_task(feed.run()) for feed in feeds_by_kind.values()]
     tasks.append(asyncio.create_task(register(gateway, store)))
     tasks.append(asyncio.create_task(follow_settings(gateway, hangup)))
     server = CallerServer(gateway)
     listener = await listen(server, settings.caller_address)
     await listen(make_readiness_server(gateway), settings.readiness_address)
+    await listen(make_relay_server(feeds_by_kind), settings.peer_address)
     await listen(make_metrics_server(gateway), (settings.metrics_host, METRICS_PORT))
     log.info("started", address=settings.caller_address, pid=os.getpid())
     await gateway.shutdown.requested()
@@ -62,6 +66,7 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     await store.close()
+    await peers.close()
     await sender.close()
     log.info("stopped")
     return ExitStatus.SUCCESS
@@ -76,7 +81,8 @@
 
 async def register(gateway: Gateway, store: ObjectStore) -> None:
     """Write this instance's entry, by which the others know that it takes a share."""
-    value = {"failure_domain": gateway.settings.failure_domain}
+    host, port = gateway.settings.peer_address
+    value = {"failure_domain": gateway.settings.failure_domain, "address": f"{host}:{port}"}
     while True:
         result = await store.put(INSTANCES, gateway.settings.instance, value)
         if not isinstance(result, StoreFailure):
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -14,6 +14,7 @@
 from flamingostack.gateway.feeds import make_feeds
 from flamingostack.gateway.main import listen, shut_down
 from flamingostack.gateway.model import InstanceSettings
+from flamingostack.gateway.relay import PeerClient, make_relay_server
 from flamingostack.gateway.sender import Sender
 from flamingostack.gateway.server import CallerServer, make_readiness_server
 from flamingostack.gateway.state import Gateway
@@ -285,9 +286,11 @@
         # As after the first window of a process: the slack of the budget may be used.
         self.gateway.budget.started_at -= self.settings.extra_send_window_s
         self.objects = ObjectStore(self.store.url)
-        self.tasks = [
-            asyncio.create_task(feed.run()) for feed in make_feeds(self.gateway, self.objects)
-        ]
+        self.peers = PeerClient()
+        self.feeds_by_kind = make_feeds(self.gateway, self.objects, self.peers)
+        self.tasks = [asyncio.create_task(feed.run()) for feed in self.feeds_by_kind.values()]
+        self.relay = await listen(make_relay_server(self.feeds_by_kind), (HOST, 0))
+        self.relay_port = self.relay.sockets[0].getsockname()[1]
         self.server = CallerServer(self.gateway)
         self.listener = await listen(self.server, (HOST, 0))
         self.port = self.listener.sockets[0].getsockname()[1]
@@ -313,8 +316,10 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.listener.close()
         self.readiness.close()
+        self.relay.close()
         await self.server.shutdown(0.01)
         await self.objects.close()
+        await self.peers.close()
         await self.gateway.sender.close()
 
     async def get(self, path: str, request_id: str = "r1", **options) -> tuple:
--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,64 @@
+"""Tests of flamingostack.gateway.relay."""
+
+import unittest
+
+from flamingostack.gateway.relay import decode_picture
+
+from .fakes import (
+    HOST,
+    FakeObjectStore,
+    FakeTarget,
+    GatewayCase,
+    RunningGateway,
+    make_configuration,
+    make_route,
+    wait_until,
+)
+
+ROUTE = make_route("one", service="one")
+
+
+class RelayTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against an instance that the store turns away and that stays behind for long."""
+
+    async def start_turned_away(self) -> tuple[RunningGateway, RunningGateway]:
+        """Start one gateway that the store serves, and one that a store of its own refuses."""
+        served = await self.start_gateway({"one": [FakeTarget()]}, [ROUTE])
+        address = f"{HOST}:{served.relay_port}"
+        self.store.put("flamingostack-instances", "front-a-1", {"address": address})
+        refusing = FakeObjectStore()
+        await refusing.start()
+        self.addAsyncCleanup(refusing.stop)
+        refusing.is_down = True
+        other = RunningGateway(refusing, instance="front-b-1", failure_domain="b")
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+        other.peers.addresses_by_instance["front-a-1"] = address
+        return served, other
+
+    async def test_instance_that_is_turned_away_learns_from_another(self):
+        served, other = await self.start_turned_away()
+        await wait_until(lambda: other.gateway.is_ready)
+        self.assertEqual((await other.get("/one/x"))[0], 200)
+        self.store.put("config", "main", make_configuration(12, [ROUTE], ["one"]))
+        self.store.put("evacuations", "a", {})
+        await wait_until(lambda: other.gateway.routes.configuration.version == 12)
+        await wait_until(lambda: other.gateway.directory.evacuated_domains == {"a"})
+        self.assertEqual((await other.get("/one/x"))[0], 503)
+
+    async def test_older_picture_changes_nothing(self):
+        served, other = await self.start_turned_away()
+        await wait_until(lambda: other.gateway.is_ready)
+        feed = other.feeds_by_kind["config"]
+        feed.revision = 10_000
+        self.assertIsNone(await other.peers.fetch("config", feed.revision))
+
+    async def test_instance_without_the_store_passes_nothing_on(self):
+        served, other = await self.start_turned_away()
+        await wait_until(lambda: other.gateway.is_ready)
+        served.peers.addresses_by_instance["front-b-1"] = f"{HOST}:{other.relay_port}"
+        self.assertIsNone(await served.peers.fetch("config", 0))
+
+    def test_unreadable_picture_is_refused(self):
+        for body in (b"", b"{}", b'{"revision": "x", "records": []}', b"\xff"):
+            self.assertIsNone(decode_picture(body))
