--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -65,7 +65,7 @@
         "plan",
         "results_by_service",
         "extra_sends",
-        "failures",
+        "sends",
         "overloaded_sends",
         "_results",
         "_tasks",
@@ -82,7 +82,8 @@
         self.plan = plan
         self.results_by_service: dict[str, SendResult] = {}
         self.extra_sends = 0
-        self.failures: list[str] = []
+        # Target, outcome and milliseconds of each send that has ended, for the log.
+        self.sends: list[str] = []
         self.overloaded_sends = 0
         self._loop = asyncio.get_running_loop()
         self._results: asyncio.Queue[tuple[Part, Target, SendResult]] = asyncio.Queue()
@@ -185,6 +186,9 @@
         self._results.put_nowait((part, target, result))
 
     def _take(self, part: Part, target: Target, result: SendResult) -> None:
+        self.sends.append(
+            f"{target.entry.id}:{result.outcome.value}:{round(result.elapsed_s * 1000)}"
+        )
         if result.outcome is SendOutcome.ANSWERED or self._is_final(result):
             if part.state is not PartState.ANSWERED:
                 self.results_by_service[part.service] = result
@@ -193,7 +197,6 @@
         if result.outcome is SendOutcome.FAILED:
             # Kept in case nothing better comes; a single target's own failure is passed on.
             self.results_by_service.setdefault(part.service, result)
-        self.failures.append(f"{target.entry.id}:{result.outcome.value}")
         self.gateway.metrics.count(
             "gateway_send_failures_total", outcome=result.outcome.value, service=part.service
         )
@@ -236,12 +239,27 @@
 
     def _explain_failure(self, is_late: bool) -> QueryFailure:
         has_run = any(part.sends for part in self.plan.parts)
-        detail = " ".join(self.failures[:10])
+        detail = f"{self.plan.answered} of {self.plan.needed} parts"
         if is_late:
             return QueryFailure(QueryReason.DEADLINE, detail, not has_run)
         reason = QueryReason.TOO_FEW_PARTS if has_run else QueryReason.NO_TARGET
         return QueryFailure(reason, detail, not has_run)
 
+    def describe(self) -> dict[str, object]:
+        """Return what the request was decided from, for its log line."""
+        missing = [part for part in self.plan.parts if part.state is not PartState.ANSWERED]
+        waiting = [
+            f"{part.service}>{part.tried[-1].entry.id}"
+            for part in missing
+            if part.in_flight and part.tried
+        ]
+        return {
+            "extra_sends": self.extra_sends,
+            "sends": ",".join(self.sends),
+            "missing_services": ",".join(part.service for part in missing),
+            "waiting_for": ",".join(waiting),
+        }
+
     def _cancel_sends(self) -> None:
         for task in list(self._tasks):
             task.cancel()
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -158,7 +158,7 @@
     overload = gateway.overload(services[0])
     if not overload.try_enter(route.priority, caller.arrived_at):
         failure = QueryFailure(QueryReason.OVERLOADED, "limit of requests in flight", True)
-        return answer_failure(gateway, request, route, caller, failure)
+        return answer_failure(gateway, request, route, caller, failure, None)
     run = None
     lost_to_load = False
     try:
@@ -171,7 +171,7 @@
         overload.leave(lost_to_load, gateway.now())
     if failure is not None:
         if isinstance(route.destination, FanOut) or not run.results_by_service:
-            return answer_failure(gateway, request, route, caller, failure)
+            return answer_failure(gateway, request, route, caller, failure, run)
         return return_result(gateway, request, route, caller, run)
     if isinstance(route.destination, FanOut):
         return return_merged(gateway, request, route, caller, run)
@@ -190,7 +190,7 @@
     missing = len(run.plan.parts) - len(results)
     signatures = [messages.read_signature(result.headers) for result in results]
     body = merge_records((result.body for result in results), route.destination.max_records)
-    report(gateway, request, route, caller, 200, missing=missing, run=run)
+    report(gateway, request, route, caller, 200, run, missing=missing)
     return web.Response(
         body=body,
         headers=messages.make_merged_headers(request.id, signatures, missing),
@@ -206,8 +206,8 @@
     if result.status in messages.PROMISE_STATUSES:
         # The target did not say that the request has not run, so neither do we.
         failure = QueryFailure(QueryReason.TOO_FEW_PARTS, f"status {result.status}", False)
-        return answer_failure(gateway, request, route, caller, failure)
-    report(gateway, request, route, caller, result.status, run=run)
+        return answer_failure(gateway, request, route, caller, failure, run)
+    report(gateway, request, route, caller, result.status, run)
     return make_returned(result)
 
 
@@ -225,6 +225,7 @@
     route: Route,
     caller: Caller,
     failure: QueryFailure,
+    run: QueryRun | None,
 ) -> web.Response:
     """Return the status that tells the caller whether its request has run."""
     status = 503 if failure.is_not_run else STATUS_BY_REASON[failure.reason]
@@ -238,6 +239,7 @@
         route,
         caller,
         status,
+        run,
         reason=failure.reason.code,
         detail=failure.message,
         retry_after_s=retry_after_s,
@@ -275,7 +277,7 @@
     route: Route,
     caller: Caller,
     status: int,
-    run: QueryRun | None = None,
+    run: QueryRun | None,
     **details: object,
 ) -> None:
     """Count an answer, and log it with what it was decided from."""
@@ -291,7 +293,7 @@
         elapsed_ms=round(elapsed_s * 1000),
         time_left_ms=round(caller.time_left_s * 1000),
         version=gateway.routes.configuration.version if gateway.routes else None,
-        extra_sends=run.extra_sends if run else 0,
+        **(run.describe() if run is not None else {}),
         **details,
     )
 
