Take the most frequent time limit for that of a first attempt; wait for all parts once the goal is missed

Cause: found by reading. The time that a caller had spent before was taken from the largest time limit seen on the route: one caller with a limit of a minute would have made the goal of all others lie in the past, and an answer then left with as few parts as it needs.

Ruled out: the route's timeout as the limit; operators change it, and callers need not use it.

Change: the most frequent limit counts. A request whose goal is missed waits for two usual hedging times.

Before and after: test_caller_whose_goal_is_missed_gets_all_parts failed before.

--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -270,16 +270,18 @@
 ) -> FanOutPlan:
     """Return the plan of a request that arrived just now."""
     stats = gateway.stats(route)
-    stats.max_time_left_s = max(stats.max_time_left_s, caller.time_left_s)
-    # A caller that has tried before has less time left than others; its goal began back then.
-    spent_s = stats.max_time_left_s - caller.time_left_s
-    goal_s = route.goal_s - spent_s
+    stats.time_left.record(caller.time_left_s)
+    # The goal of a caller that has tried before began back then.
+    goal_s = (route.goal_s - stats.time_left.spent_s(caller.time_left_s)) * GOAL_SHARE
+    if goal_s < stats.usual_latency_s(route, caller.arrived_at):
+        # The goal is missed, so that there is time for all parts, and for a second send of each.
+        goal_s = 2 * stats.hedge_after_s(route, caller.arrived_at)
     limit_s = min(caller.time_left_s, route.timeout_s)
     return FanOutPlan(
         services,
         min_coverage=min_coverage,
         max_sends=route.max_sends if route.is_idempotent else 1,
-        goal_at=caller.arrived_at + goal_s * GOAL_SHARE,
+        goal_at=caller.arrived_at + goal_s,
         limit_at=caller.arrived_at + limit_s - ANSWER_RESERVE_S,
         may_hedge=route.is_idempotent,
     )
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -25,6 +25,9 @@
 MEDIAN_PERCENT = 50.0
 # The hedge must still have the usual latency left until the goal.
 MIN_HEDGE_LATENCIES = 1.4
+# Distinct time limits that are counted for a route; retries have one of their own each.
+MAX_TIME_LIMITS = 64
+MS_PER_S = 1000
 # Shares of a target's connection cap that all instances use in ordinary times, and at most. After a
 # power loss of all instances the target still counts the connections from before, and the new ones
 # have to fit in beside them.
@@ -32,14 +35,43 @@
 MAX_CONNECTION_SHARE = 0.7
 
 
+class UsualTimeLeft:
+    """The time limit that most first attempts of a route's callers have.
+
+    A caller that has tried before has less left. The most frequent value is used and not the
+    largest, so that a few patient callers do not make all others look like late ones.
+    """
+
+    __slots__ = ("counts_by_ms",)
+
+    def __init__(self) -> None:
+        self.counts_by_ms: dict[int, int] = {}
+
+    def record(self, time_left_s: float) -> None:
+        """Count a request."""
+        key = round(time_left_s * MS_PER_S)
+        self.counts_by_ms[key] = self.counts_by_ms.get(key, 0) + 1
+        if len(self.counts_by_ms) > MAX_TIME_LIMITS:
+            # Halving keeps the frequent values and lets a new one take over.
+            halved = {key: count // 2 for key, count in self.counts_by_ms.items()}
+            self.counts_by_ms = {key: count for key, count in halved.items() if count}
+
+    def spent_s(self, time_left_s: float) -> float:
+        """Return how long the caller has been trying before, as far as its time limit tells."""
+        if not self.counts_by_ms:
+            return 0.0
+        usual_ms = max(self.counts_by_ms, key=self.counts_by_ms.__getitem__)
+        return max(usual_ms / MS_PER_S - time_left_s, 0.0)
+
+
 class RouteStats:
-    """Latency of the parts of a route, and how long its callers wait at most."""
+    """Latency of the parts of a route, and the time limits of its callers."""
 
-    __slots__ = ("latency", "max_time_left_s")
+    __slots__ = ("latency", "time_left")
 
     def __init__(self, now: float) -> None:
         self.latency = LatencyWindow(now)
-        self.max_time_left_s = 0.0
+        self.time_left = UsualTimeLeft()
 
     def usual_latency_s(self, route: Route, now: float) -> float:
         """Return the median latency of a part."""
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -330,6 +330,18 @@
         self.assertEqual(len(headers["X-Part-Stamps"].split(", ")), 4)
         self.assertGreater(loop.time() - began, 0.2)
 
+    async def test_caller_whose_goal_is_missed_gets_all_parts(self):
+        async def slower(target, request):
+            await asyncio.sleep(0.03)
+            return target.answer(request)
+
+        running = await self.serve_shards([None] * 4 + [slower])
+        for number in range(10):
+            await running.get("/all/x", request_id=f"first{number}")
+        late = {"X-Deadline-Milliseconds": "600"}
+        _, headers, _ = await running.get("/all/x", headers=late)
+        self.assertEqual(headers["X-Missing-Parts"], "0")
+
     async def test_failure_with_a_signature_is_no_part(self):
         async def fail(target, request):
             made = target.answer(request)
