Name the full services in a refusal; log the number of instances only when it changes

Change: the line names the services without a free target.

Before and after: test_request_without_room_is_refused_with_the_full_services_named.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -368,7 +368,9 @@
                 addresses_by_instance[record.name] = address
         before = len(self.gateway.instances)
         self.gateway.set_instances(instances)
-        self.gateway.log.info("instances_changed", before=before, after=len(self.gateway.instances))
+        after = len(self.gateway.instances)
+        if after != before:
+            self.gateway.log.info("instances_changed", before=before, after=after)
 
 
 def make_feeds(gateway: Gateway, store: ObjectStore, peers: PeerClient) -> dict[str, Feed]:
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -93,8 +93,11 @@
         """Carry out the plan; None when the results are to be answered."""
         for part in self.plan.parts:
             self.gateway.budget.count_request(part.service, self.gateway.now())
-        if not self.plan.can_start(self._free_by_part()):
-            return QueryFailure(QueryReason.NO_TARGET, "too few parts have a free target", True)
+        free_by_part = self._free_by_part()
+        if not self.plan.can_start(free_by_part):
+            parts = zip(self.plan.parts, free_by_part, strict=True)
+            full = ",".join(part.service for part, is_free in parts if not is_free)
+            return QueryFailure(QueryReason.NO_TARGET, f"no free target: {full}", True)
         try:
             return await self._follow_plan()
         except asyncio.CancelledError:
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -368,6 +368,17 @@
             self.assertEqual(status, 200)
         self.assertEqual(running.gateway.overload("s0").limit, float("inf"))
 
+    async def test_request_without_room_is_refused_with_the_full_services_named(self):
+        running = await self.serve_shards([None] * 5)
+        for name in ("s1", "s3"):
+            (target,) = running.gateway.directory.targets_by_service[name]
+            target.in_flight = target.max_connections
+        status, headers, _ = await running.get("/all/x")
+        self.assertEqual((status, "Retry-After" in headers), (503, True))
+        self.assertEqual([target.requests for target in self.targets], [[]] * 5)
+        answered = [e for e in running.events if e["event"] == "request_answered"]
+        self.assertEqual(answered[-1]["detail"], "no free target: s1,s3")
+
     async def test_too_few_parts_are_no_success(self):
         running = await self.serve_shards([None] * 3 + [crash, crash])
         status, headers, _ = await running.get("/all/x")
