--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import logging
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -70,6 +71,11 @@
         self.revision += 1
         self._add_event(kind, self.objects_by_kind[kind].pop(name), True)
 
+    def go_down(self) -> None:
+        """Refuse all calls from now on, those that wait included."""
+        self.is_down = True
+        self._wake()
+
     def lapse(self, kind: str, names: list[str]) -> None:
         """Remove several objects in one step, as heartbeats that are missing together do."""
         self.revision += 1
@@ -123,6 +129,8 @@
         since = int(request.query["watch"])
         end = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000
         while True:
+            if self.is_down:
+                return web.Response(status=503)
             if since < self.oldest_revision:
                 return web.Response(status=410)
             events = [
@@ -280,7 +288,10 @@
         """Start, and wait until it is ready."""
         loop = asyncio.get_running_loop()
         log = structlog.wrap_logger(
-            structlog.PrintLogger(), processors=[self._keep_event], wrapper_class=None
+            structlog.PrintLogger(),
+            processors=[self._keep_event],
+            # Tests of other processes set a level for all loggers that do not name their own.
+            wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG),
         )
         self.gateway = Gateway(self.settings, log, Metrics(), loop.time, Sender())
         # As after the first window of a process: the slack of the budget may be used.
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -64,7 +64,7 @@
 
     async def test_picture_is_kept_while_the_store_is_down_and_renewed_afterwards(self):
         running = await self.start()
-        self.store.is_down = True
+        self.store.go_down()
         self.store.forget_history()
         await wait_until(lambda: any(e["event"] == "store_lost" for e in running.events))
         self.assertEqual((await running.get("/one/x"))[0], 200)
@@ -88,7 +88,7 @@
     async def test_entry_that_lapsed_while_the_store_was_down_is_used_until_it_is_back(self):
         running = await self.start(1)
         (target,) = self.targets
-        self.store.is_down = True
+        self.store.go_down()
         self.store.forget_history()
         await wait_until(lambda: any(e["event"] == "store_lost" for e in running.events))
         self.store.delete("servers", target.id)
