Do not take discarded history for an outage; drop a setting that nothing used

A 410 counted as loss of the store: it woke all other watches, asked a peer, and held the removal of targets for 2 s. A list that lacked lapsed entries after a silent outage removed them at once. drain_timeout_s was read and never used, since leaving targets get nothing from the moment they are known to leave.

Change: after a 410 the kind is listed again, within 0.2 s. A list, too, holds three targets or more that vanish together unannounced.

Before and after: test_discarded_history_is_no_outage; the test of lapsed entries still passes.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..errors import Failure
 from ..platform import decode, objects
@@ -116,6 +116,12 @@
                 backoff_s = FIRST_BACKOFF_S
                 await asyncio.sleep(self.pause_s)
                 continue
+            if failure.reason is StoreReason.HISTORY_GONE:
+                # The store is there; the kind is listed again.
+                self.gateway.log.info("history_discarded", kind=self.kind, revision=self.revision)
+                self.revision = None
+                await asyncio.sleep(random.random() * FIRST_BACKOFF_S)
+                continue
             self.note_failure(failure)
             await self.ask_peer()
             await asyncio.sleep(backoff_s * (0.5 + random.random()))
@@ -129,8 +135,6 @@
         else:
             result = await self.watch()
         if isinstance(result, StoreFailure):
-            if result.reason is StoreReason.HISTORY_GONE:
-                self.revision = None
             return result
         self.note_answer()
         self.apply(result)
@@ -244,19 +248,28 @@
                 self.note_malformed(entry.message)
             else:
                 entries.append(entry)
-        self.gateway.directory.replace_all(entries, self.gateway.now(), was_away)
-        self.gateway.log.info("targets_listed", count=len(entries), may_return=was_away)
+        directory = self.gateway.directory
+        missing = set(directory.targets_by_id) - {entry.id for entry in entries}
+        may_return = was_away or self.lapsed_together(missing)
+        directory.replace_all(entries, self.gateway.now(), may_return)
+        self.gateway.log.info(
+            "targets_listed", count=len(entries), missing=len(missing), may_return=may_return
+        )
         self.finish()
 
+    def lapsed_together(self, missing: Iterable[str]) -> bool:
+        """Tell whether so many targets vanished unannounced that the store may have been away.
+
+        A store that was silent for a while has failed no call, but its entries have lapsed.
+        """
+        return sum(map(self.gateway.directory.is_serving, missing)) >= LAPSED_TOGETHER
+
     def apply_changes(self, records: list[StoredRecord], was_away: bool) -> None:
         """Take over changed entries."""
         directory = self.gateway.directory
         now = self.gateway.now()
-        unannounced = sum(
-            record.value is None and directory.is_serving(record.name) for record in records
-        )
-        # A store that was silent for a while has failed no call, but its entries have lapsed.
-        may_return = was_away or unannounced >= LAPSED_TOGETHER
+        removed = [record.name for record in records if record.value is None]
+        may_return = was_away or self.lapsed_together(removed)
         for record in records:
             if record.value is None:
                 directory.remove(record.name, now, may_return)
--- a/flamingostack/gateway/model.py
+++ b/flamingostack/gateway/model.py
@@ -16,7 +16,6 @@
         "peer_address",
         "metrics_host",
         "store_url",
-        "drain_timeout_s",
         "shutdown_grace_s",
         "extra_send_ratio",
         "extra_send_slack",
@@ -35,7 +34,6 @@
         peer_address: Address,
         metrics_host: str,
         store_url: str,
-        drain_timeout_s: float,
         shutdown_grace_s: float,
         extra_send_ratio: float,
         extra_send_slack: float,
@@ -50,7 +48,6 @@
         self.peer_address = peer_address
         self.metrics_host = metrics_host
         self.store_url = store_url
-        self.drain_timeout_s = drain_timeout_s
         self.shutdown_grace_s = shutdown_grace_s
         # Sends beyond the first of each request, over all instances: in each window a service may
         # get the ratio of its requests plus the slack.
--- a/flamingostack/platform/settings.py
+++ b/flamingostack/platform/settings.py
@@ -11,7 +11,6 @@
 
 PATH_VARIABLE = "FLAMINGOSTACK_NODE_FILE"
 DEFAULT_PATH = "/etc/flamingostack/local.conf"
-MS_PER_S = 1000
 
 
 def read_settings_text(variables: Mapping[str, str]) -> str | None:
@@ -77,7 +76,6 @@
         peer_address=parse_address(f"{ip_address}:{first_port}"),
         metrics_host=ip_address,
         store_url=f"http://{values_by_key['platform.address']}",
-        drain_timeout_s=number("bounds.drainTimeoutMs") / MS_PER_S,
         shutdown_grace_s=number("bounds.gracePeriodS"),
         extra_send_ratio=number("bounds.retryBudgetRatio"),
         extra_send_slack=number("bounds.retryBudgetSlack"),
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -255,7 +255,6 @@
             "peer_address": (HOST, 1),
             "metrics_host": HOST,
             "store_url": store_url,
-            "drain_timeout_s": 3.0,
             "shutdown_grace_s": 6.0,
             "extra_send_ratio": 0.2,
             "extra_send_slack": 50.0,
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -112,6 +112,19 @@
         self.assertEqual((await running.get("/one/x"))[0], 200)
         await wait_until(lambda: not directory.targets_by_id)
 
+    async def test_discarded_history_is_no_outage(self):
+        running = await self.start(3)
+        await self.settle()
+        gone = self.targets[0]
+        del self.store.objects_by_kind["servers"][gone.id]
+        self.store.revision += 1
+        self.store.forget_history()
+        # The entry is missing in the new list; nothing points to an outage, so it is not held.
+        await wait_until(lambda: gone.id not in running.gateway.directory.targets_by_id)
+        self.assertFalse(any(event["event"] == "store_lost" for event in running.events))
+        held = [e["may_return"] for e in running.events if e["event"] == "targets_listed"]
+        self.assertFalse(any(held))
+
     async def test_instances_divide_the_budget_and_the_connections(self):
         running = await self.start()
         for name in ("front-a-2", "front-b-1", "front-b-2"):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -15,7 +15,6 @@
 listen.front=10.1.0.39:8226
 listen.readiness=10.1.0.39:8227
 internalPortRange=7740,7755
-bounds.drainTimeoutMs=3000
 bounds.gracePeriodS=6
 bounds.retryBudgetRatio=0.2
 bounds.retryWindowS=10
@@ -37,7 +36,6 @@
         self.assertEqual(settings.caller_address, ("10.1.0.39", 8226))
         self.assertEqual(settings.peer_address, ("10.1.0.39", 7740))
         self.assertEqual(settings.store_url, "http://10.200.1.7:8229")
-        self.assertEqual(settings.drain_timeout_s, 3.0)
 
     def test_each_missing_key_is_named(self):
         for line in LINES.split():
