Probe a lost store with short waits

Its new watch went into the silent store and hung for 9.5 s, until 29.6 s, while version 20 had been acknowledged at 24.4 s.

Ruled out: a version that was refused or older; the other instances applied it at 24.34 s.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -24,6 +24,9 @@
 PROBING_WAIT_S = 8.0
 # The other watches wait as long as the store allows, since each call is paid for.
 WATCH_WAIT_S = 29.0
+# After a loss a watch waits only so long until the store has answered: one sent into a silent
+# store would else hang for its whole wait after the store's return.
+LOST_WAIT_S = 0.3
 # Changes that come in quick succession are fetched together.
 WATCH_PAUSE_S = 0.15
 # Instances register at the same time when a fleet starts; their number may be known a little later.
@@ -142,7 +145,8 @@
 
     async def watch(self) -> StoredRecords | StoreFailure:
         """Wait for changes, or until another feed has lost the store."""
-        watching = asyncio.create_task(self.store.watch(self.kind, self.revision, self.wait_s))
+        wait_s = LOST_WAIT_S if self.is_lost else self.wait_s
+        watching = asyncio.create_task(self.store.watch(self.kind, self.revision, wait_s))
         suspecting = asyncio.create_task(self.suspicion.wait())
         try:
             await asyncio.wait({watching, suspecting}, return_when=asyncio.FIRST_COMPLETED)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -41,12 +41,14 @@
         self.events: list[tuple[int, str, dict, bool]] = []
         self.oldest_revision = 0
         self.is_down = False
+        # Calls get no answer, also not later.
+        self.is_silent = False
         self.calls: list[str] = []
         self._changed = asyncio.Event()
 
     async def start(self) -> None:
         """Listen."""
-        self.server = web.Server(self._serve, access_log=None)
+        self.server = web.Server(self._serve, access_log=None, handler_cancellation=True)
         self._listener, self.port = await start_server(self.server)
 
     async def stop(self) -> None:
@@ -100,6 +102,8 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
         self.calls.append(f"{request.method} {request.path_qs}")
+        if self.is_silent:
+            await asyncio.sleep(3600)
         if self.is_down:
             return web.Response(status=503)
         kind, _, name = request.path.removeprefix("/-/objects/").partition("/")
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -112,6 +112,21 @@
         self.assertEqual((await running.get("/one/x"))[0], 200)
         await wait_until(lambda: not directory.targets_by_id)
 
+    async def test_watch_sent_into_a_silent_store_does_not_outlast_its_return(self):
+        running = await self.start()
+        await self.settle()
+        feed = running.feeds_by_kind["config"]
+        self.store.is_silent = True
+        feed.suspicion.raise_all()
+        await wait_until(lambda: feed.is_lost)
+        # Long enough for another watch to be under way, which is never answered.
+        await asyncio.sleep(1.0)
+        self.store.is_silent = False
+        self.store.put("config", "main", make_configuration(10, [ROUTE], ["one"]))
+        # The platform grants 4 s after an outage and 3 s for a version.
+        async with asyncio.timeout(7):
+            await wait_until(lambda: running.gateway.routes.configuration.version == 10)
+
     async def test_discarded_history_is_no_outage(self):
         running = await self.start(3)
         await self.settle()
--- a/tests/standins/test_launcher.py
+++ b/tests/standins/test_launcher.py
@@ -117,6 +117,8 @@
             cwd=ROOT,
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
+            # A shell starts background jobs with SIGINT ignored, and children inherit that.
+            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
         )
         try:
             line = child.stdout.readline()
