Let two instances of a failure domain watch the store, and the others follow them

Cause: each instance watched four kinds; calls to the store are priced, limited over all instances and grow with the fleet.

Ruled out: one reader in all, or one in each failure domain: a reader that is cut off from the store without notice would keep its followers behind for longer than a configuration may take.

Change: readers.py chooses two readers by a hash of the names; follower.py polls both within the failure domain and takes over changes and deletions since its own revision; an instance without a fresh source watches the store itself. A feed that has to list again keeps its picture. feeds.py is split: picture.py holds what objects mean. Watches end before the store forgets the history behind them.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -1,29 +1,36 @@
 """Following the platform's store: configuration, targets, evacuations and our own instances.
 
 Each kind is listed once and then watched; a change arrives as soon as it is made. While the store
-is away, what is known stays in force.
+is away, what is known stays in force. While other instances pass the store's news on
+(`follower.py`), the store is not asked.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
-from ..errors import Failure
-from ..platform import decode, objects
+from ..platform import objects
 from ..platform.objects import ObjectStore
 from ..store import StoreFailure, StoreReason
 from .directory import OUTAGE_MEMORY_S
 from .model import StoredRecord, StoredRecords
+from .picture import ConfigurationFeed, EvacuationFeed, InstanceFeed, TargetFeed
 from .relay import PeerClient
 from .state import Gateway
 
 # The watch of the configuration is renewed after this time without a change. A store that has gone
 # silent is noticed within this time and the call's own time-out, and then by all feeds.
 PROBING_WAIT_S = 8.0
-# The other watches wait as long as the store allows, since each call is paid for.
-WATCH_WAIT_S = 29.0
+# The same while other instances learn from this one: they notice its silence no earlier.
+READER_WAIT_S = 3.0
+# An instance that was polled so recently has followers; they poll each second.
+POLLED_RECENTLY_S = 5.0
+# The other watches wait as long as the store allows, since each call is paid for, but not longer
+# than it remembers: what follows then is a whole list.
+MAX_WATCH_WAIT_S = 29.0
+HISTORY_SHARE = 0.75
 # After a loss a watch waits only so long until the store has answered: one sent into a silent
 # store would else hang for its whole wait after the store's return.
 LOST_WAIT_S = 0.3
@@ -34,12 +41,12 @@
 TARGETS_PAUSE_S = 0.8
 # Instances register at the same time when a fleet starts; their number may be known a little later.
 INSTANCES_PAUSE_S = 3.0
-# So many entries that vanish together without having announced it point to an outage of the store.
-LAPSED_TOGETHER = 3
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 # An instance that has just started serves nothing before it knows the configuration.
 MAX_START_BACKOFF_S = 0.4
+# So many deletions of a kind are remembered for instances that ask what has changed.
+MAX_DELETIONS = 1000
 
 
 class StoreContact:
@@ -48,12 +55,21 @@
     Times are in seconds of the event loop's clock.
     """
 
-    __slots__ = ("failed_at", "_raised")
+    __slots__ = ("now", "failed_at", "confirmed_at", "polled_at", "_raised", "_news", "_unfed")
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
         # When the store last failed to answer a feed.
         self.failed_at = float("-inf")
+        # When the picture was last that of the store, here or at the instance that passed it on.
+        self.confirmed_at = float("-inf")
+        # When another instance last asked for news.
+        self.polled_at = float("-inf")
         self._raised = asyncio.Event()
+        self._news = asyncio.Event()
+        # Set while this instance has to ask the store itself.
+        self._unfed = asyncio.Event()
+        self._unfed.set()
 
     def raise_all(self) -> None:
         """Wake all feeds that wait."""
@@ -64,6 +80,55 @@
         """Wait until a feed has lost the store."""
         await self._raised.wait()
 
+    @property
+    def is_fed(self) -> bool:
+        """Whether other instances pass on what is new, so that the store need not be asked."""
+        return not self._unfed.is_set()
+
+    def set_fed(self, is_fed: bool) -> None:
+        """Note whether other instances pass on what is new."""
+        if is_fed:
+            self._unfed.clear()
+        else:
+            self._unfed.set()
+
+    async def wait_until_unfed(self) -> None:
+        """Wait until the store has to be asked."""
+        await self._unfed.wait()
+
+    def announce_news(self) -> None:
+        """Wake the instances that wait for news."""
+        self._news.set()
+        self._news = asyncio.Event()
+
+    async def wait_for_news(self, wait_s: float) -> None:
+        """Wait for news, for `wait_s` at most."""
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._news.wait()
+        except TimeoutError:
+            return
+
+    def note_poll(self) -> None:
+        """Note that another instance learns from this one."""
+        self.polled_at = self.now()
+
+    @property
+    def has_followers(self) -> bool:
+        """Whether other instances learn from this one."""
+        return self.now() - self.polled_at < POLLED_RECENTLY_S
+
+    def age_s(self) -> float | None:
+        """Return how long ago the picture was last confirmed; None: never."""
+        return self._elapsed_s(self.confirmed_at)
+
+    def failed_age_s(self) -> float | None:
+        """Return how long ago the store last failed; None: never."""
+        return self._elapsed_s(self.failed_at)
+
+    def _elapsed_s(self, at: float) -> float | None:
+        return None if at == float("-inf") else self.now() - at
+
 
 class Feed:
     """Keeps the gateway's picture of one kind of objects up to date."""
@@ -80,6 +145,9 @@
         "pause_s",
         "revision",
         "records_by_name",
+        "must_list",
+        "deletions_by_name",
+        "complete_since",
         "is_lost",
         "may_list_stale",
         "listed",
@@ -94,7 +162,7 @@
         apply_changes: Callable[[list[StoredRecord], bool], None],
         peers: PeerClient,
         contact: StoreContact,
-        wait_s: float = WATCH_WAIT_S,
+        wait_s: float = MAX_WATCH_WAIT_S,
         pause_s: float = WATCH_PAUSE_S,
     ) -> None:
         self.gateway = gateway
@@ -106,9 +174,15 @@
         self.apply_list = apply_list
         self.apply_changes = apply_changes
         self.peers = peers
-        # None before the first list, and after the store has discarded its history.
+        # None before the first list.
         self.revision: int | None = None
         self.records_by_name: dict[str, StoredRecord] = {}
+        # Before the first list, and after the store has discarded its history.
+        self.must_list = True
+        # Revisions at which deletions were seen, for instances that learn from this one, and the
+        # revision since which all of them are known.
+        self.deletions_by_name: dict[str, int] = {}
+        self.complete_since = 0
         self.is_lost = False
         # The first list may be seconds old, which is cheap: the watch that follows it tells at once
         # what has changed since. A later one would take the picture back in time.
@@ -119,12 +193,15 @@
         """Follow the store until cancelled."""
         backoff_s = FIRST_BACKOFF_S
         while True:
+            if self.contact.is_fed and not self.must_list:
+                self.note_regained()
+                await self.contact.wait_until_unfed()
             try:
                 failure = await self.step()
             except Exception:
                 # A fault on one object must not end the feed; everything is read again.
                 self.gateway.log.exception("feed_failed", kind=self.kind, revision=self.revision)
-                self.revision = None
+                self.must_list = True
                 failure = StoreFailure(StoreReason.UNAVAILABLE, "feed failed")
             if failure is None:
                 backoff_s = FIRST_BACKOFF_S
@@ -133,7 +210,7 @@
             if failure.reason is StoreReason.HISTORY_GONE:
                 # The store is there; the kind is listed again.
                 self.gateway.log.info("history_discarded", kind=self.kind, revision=self.revision)
-                self.revision = None
+                self.must_list = True
                 await asyncio.sleep(random.random() * FIRST_BACKOFF_S)
                 continue
             self.note_failure(failure)
@@ -144,21 +221,20 @@
 
     async def step(self) -> None | StoreFailure:
         """List, or wait for the next changes, and apply them."""
-        if self.revision is None:
+        if self.must_list:
             result = await self.store.list_objects(self.kind, self.may_list_stale)
         else:
             result = await self.watch()
         if isinstance(result, StoreFailure):
             return result
-        self.note_answer()
+        self.contact.confirmed_at = self.gateway.now()
+        self.note_regained()
         self.apply(result)
-        self.may_list_stale = False
-        self.listed.set()
         return None
 
     async def watch(self) -> StoredRecords | StoreFailure:
         """Wait for changes, or until another feed has lost the store."""
-        wait_s = LOST_WAIT_S if self.is_lost else self.wait_s
+        wait_s = self.watch_wait_s()
         watching = asyncio.create_task(self.store.watch(self.kind, self.revision, wait_s))
         suspecting = asyncio.create_task(self.contact.wait())
         try:
@@ -170,33 +246,82 @@
             watching.cancel()
             suspecting.cancel()
 
+    def watch_wait_s(self) -> float:
+        """Return how long the next watch waits for a change."""
+        if self.is_lost:
+            return LOST_WAIT_S
+        wait_s = min(self.wait_s, self.gateway.settings.store_history_s * HISTORY_SHARE)
+        if self.kind == objects.CONFIGURATIONS and self.contact.has_followers:
+            return min(wait_s, READER_WAIT_S)
+        return wait_s
+
     async def ask_peer(self) -> None:
-        """Take over the picture of another instance if it is newer."""
-        known = max((r.revision for r in self.records_by_name.values()), default=-1)
-        since = known if self.revision is None else self.revision
+        """Take over the news of another instance."""
+        since = -1 if self.revision is None else self.revision
         result = await self.peers.fetch(self.kind, since)
         if result is None:
             return
         self.gateway.log.info(
             "picture_from_peer", kind=self.kind, before=since, revision=result.revision
         )
-        self.revision = None
         self.apply(result)
 
     def apply(self, result: StoredRecords) -> None:
-        """Take over a list, or changes since the known revision."""
+        """Take over all objects, or changes since the known revision, unless newer ones are known.
+
+        Several sources may tell the same changes.
+        """
+        if self.revision is not None and result.revision < self.revision:
+            return
         was_away = self.gateway.now() - self.contact.failed_at < OUTAGE_MEMORY_S
-        if self.revision is None:
+        if result.is_whole:
             self.apply_list(result.records, was_away)
-            self.records_by_name = {record.name: record for record in result.records}
         else:
             self.apply_changes(result.records, was_away)
-            for record in result.records:
-                self.records_by_name.pop(record.name, None)
-                if record.value is not None:
-                    self.records_by_name[record.name] = record
+        self.keep(result)
+        self.must_list = False
+        self.may_list_stale = False
+        self.listed.set()
+        if result.records:
+            self.contact.announce_news()
+
+    def keep(self, result: StoredRecords) -> None:
+        """Remember objects and deletions for instances that learn from this one."""
+        present = {record.name: record for record in result.records if record.value is not None}
+        deleted = {record.name for record in result.records if record.value is None}
+        if result.is_whole:
+            deleted = self.records_by_name.keys() - present.keys()
+            self.records_by_name = present
+        else:
+            self.records_by_name.update(present)
+        for name in deleted:
+            self.records_by_name.pop(name, None)
+            # Put last, so that the oldest ones come first.
+            self.deletions_by_name.pop(name, None)
+            self.deletions_by_name[name] = result.revision
+        for name in present:
+            self.deletions_by_name.pop(name, None)
+        while len(self.deletions_by_name) > MAX_DELETIONS:
+            oldest = next(iter(self.deletions_by_name))
+            self.complete_since = self.deletions_by_name.pop(oldest)
+        if self.revision is None:
+            self.complete_since = result.revision
         self.revision = result.revision
 
+    def changes_since(self, since: int) -> StoredRecords | None:
+        """Return what is known beyond a revision; None if nothing is."""
+        if self.revision is None or self.revision <= since:
+            return None
+        if since < self.complete_since:
+            return StoredRecords(list(self.records_by_name.values()), self.revision, is_whole=True)
+        records = [item for item in self.records_by_name.values() if item.revision > since]
+        records += [
+            StoredRecord(name, revision, None)
+            for name, revision in self.deletions_by_name.items()
+            if revision > since
+        ]
+        return StoredRecords(records, self.revision, is_whole=False)
+
     def note_failure(self, failure: StoreFailure) -> None:
         """Log the loss of the store once."""
         if not self.is_lost:
@@ -214,197 +339,16 @@
         )
         self.contact.failed_at = self.gateway.now()
 
-    def note_answer(self) -> None:
-        """Log the return of the store."""
+    def note_regained(self) -> None:
+        """Log the return of the store, or of what stands in for it."""
         if self.is_lost:
             self.is_lost = False
             self.gateway.log.info("store_regained", kind=self.kind, revision=self.revision)
 
 
-class ConfigurationFeed:
-    """Puts each version of the configuration into force."""
-
-    __slots__ = ("gateway",)
-
-    def __init__(self, gateway: Gateway) -> None:
-        self.gateway = gateway
-
-    def apply(self, records: list[StoredRecord], was_away: bool) -> None:
-        """Take over the newest version among changed objects."""
-        for record in records:
-            if record.name != decode.CONFIGURATION_NAME or record.value is None:
-                continue
-            configuration = decode.decode_configuration(record)
-            if isinstance(configuration, Failure):
-                self.gateway.log.error("configuration_refused", detail=configuration.message)
-                continue
-            is_newer = self.gateway.set_configuration(configuration)
-            self.gateway.log.info(
-                "configuration_applied" if is_newer else "configuration_not_newer",
-                version=configuration.version,
-                revision=record.revision,
-                routes=len(configuration.routes),
-            )
-
-
-class TargetFeed:
-    """Keeps the directory of targets."""
-
-    __slots__ = ("gateway", "_removal")
-
-    def __init__(self, gateway: Gateway) -> None:
-        self.gateway = gateway
-        self._removal: asyncio.TimerHandle | None = None
-
-    def apply_list(self, records: list[StoredRecord], was_away: bool) -> None:
-        """Take over a whole list."""
-        entries = []
-        for record in records:
-            entry = decode.decode_target(record)
-            if isinstance(entry, Failure):
-                self.note_malformed(entry.message)
-            else:
-                entries.append(entry)
-        directory = self.gateway.directory
-        missing = set(directory.targets_by_id) - {entry.id for entry in entries}
-        may_return = was_away or self.lapsed_together(missing)
-        directory.replace_all(entries, self.gateway.now(), may_return)
-        self.gateway.log.info(
-            "targets_listed", count=len(entries), missing=len(missing), may_return=may_return
-        )
-        self.finish()
-
-    def lapsed_together(self, missing: Iterable[str]) -> bool:
-        """Tell whether so many targets vanished unannounced that the store may have been away.
-
-        A store that was silent for a while has failed no call, but its entries have lapsed.
-        """
-        return sum(map(self.gateway.directory.is_serving, missing)) >= LAPSED_TOGETHER
-
-    def apply_changes(self, records: list[StoredRecord], was_away: bool) -> None:
-        """Take over changed entries."""
-        directory = self.gateway.directory
-        now = self.gateway.now()
-        removed = [record.name for record in records if record.value is None]
-        may_return = was_away or self.lapsed_together(removed)
-        for record in records:
-            if record.value is None:
-                directory.remove(record.name, now, may_return)
-                self.gateway.log.info(
-                    "target_removed", target=record.name, revision=record.revision, held=may_return
-                )
-                continue
-            entry = decode.decode_target(record)
-            if isinstance(entry, Failure):
-                self.note_malformed(entry.message)
-                directory.remove(record.name, now, may_return=False)
-                continue
-            directory.put(entry, now)
-            self.gateway.log.info(
-                "target_changed",
-                target=entry.id,
-                service=entry.service,
-                draining=entry.is_draining,
-                cold_s=entry.cold_s,
-                revision=record.revision,
-            )
-        self.finish()
-
-    def note_malformed(self, detail: str) -> None:
-        """Log an entry that names no target to use."""
-        self.gateway.metrics.count("gateway_malformed_entries_total")
-        self.gateway.log.warning("target_malformed", detail=detail)
-
-    def finish(self) -> None:
-        """Recompute what depends on the targets, and plan the removals that wait."""
-        self.gateway.update_shares()
-        if self._removal is not None:
-            self._removal.cancel()
-            self._removal = None
-        at = self.gateway.directory.next_removal_at
-        if at is not None:
-            self._removal = asyncio.get_running_loop().call_at(at, self.expire)
-
-    def expire(self) -> None:
-        """Remove the targets whose entries have not come back."""
-        for target_id in self.gateway.directory.expire_removals(self.gateway.now()):
-            self.gateway.log.info("target_removed", target=target_id, held=True)
-        self.finish()
-
-
-class EvacuationFeed:
-    """Keeps the set of evacuated failure domains."""
-
-    __slots__ = ("gateway",)
-
-    def __init__(self, gateway: Gateway) -> None:
-        self.gateway = gateway
-
-    def apply_list(self, records: list[StoredRecord], was_away: bool) -> None:
-        """Take over a whole list."""
-        self.replace({record.name for record in records})
-
-    def apply_changes(self, records: list[StoredRecord], was_away: bool) -> None:
-        """Take over changed entries."""
-        domains = set(self.gateway.directory.evacuated_domains)
-        for record in records:
-            if record.value is None:
-                domains.discard(record.name)
-            else:
-                domains.add(record.name)
-        self.replace(domains)
-
-    def replace(self, domains: set[str]) -> None:
-        """Put a set of evacuated failure domains into force."""
-        directory = self.gateway.directory
-        if domains != directory.evacuated_domains:
-            self.gateway.log.info(
-                "evacuations_changed",
-                before=sorted(directory.evacuated_domains),
-                after=sorted(domains),
-            )
-            directory.evacuated_domains = domains
-
-
-class InstanceFeed:
-    """Keeps the instances among which limits are divided, and their addresses."""
-
-    __slots__ = ("gateway", "peers")
-
-    def __init__(self, gateway: Gateway, peers: PeerClient) -> None:
-        self.gateway = gateway
-        self.peers = peers
-
-    def apply_list(self, records: list[StoredRecord], was_away: bool) -> None:
-        """Take over a whole list."""
-        self.peers.addresses_by_instance.clear()
-        self.replace(set(), records)
-        self.gateway.log.info("instances_listed", count=len(records))
-
-    def apply_changes(self, records: list[StoredRecord], was_away: bool) -> None:
-        """Take over changed entries."""
-        self.replace(set(self.gateway.instances), records)
-
-    def replace(self, instances: set[str], records: list[StoredRecord]) -> None:
-        """Divide limits among known instances and those of the records."""
-        addresses_by_instance = self.peers.addresses_by_instance
-        for record in records:
-            if record.value is None:
-                instances.discard(record.name)
-                addresses_by_instance.pop(record.name, None)
-                continue
-            instances.add(record.name)
-            address = record.value.get("address") if isinstance(record.value, dict) else None
-            if isinstance(address, str) and record.name != self.gateway.settings.instance:
-                addresses_by_instance[record.name] = address
-        before = len(self.gateway.instances)
-        self.gateway.set_instances(instances)
-        after = len(self.gateway.instances)
-        if after != before:
-            self.gateway.log.info("instances_changed", before=before, after=after)
-
-
-def make_feeds(gateway: Gateway, store: ObjectStore, peers: PeerClient) -> dict[str, Feed]:
+def make_feeds(
+    gateway: Gateway, store: ObjectStore, peers: PeerClient, contact: StoreContact
+) -> dict[str, Feed]:
     """Return the feeds of all kinds that the gateway follows, by kind."""
     configuration = ConfigurationFeed(gateway)
     targets = TargetFeed(gateway)
@@ -416,7 +360,6 @@
         objects.EVACUATIONS: (evacuations.apply_list, evacuations.apply_changes),
         objects.INSTANCES: (instances.apply_list, instances.apply_changes),
     }
-    contact = StoreContact()
     feeds_by_kind = {
         kind: Feed(gateway, store, kind, apply_list, apply_changes, peers, contact)
         for kind, (apply_list, apply_changes) in appliers_by_kind.items()
--- /dev/null
+++ b/flamingostack/gateway/follower.py
@@ -0,0 +1,163 @@
+"""Following other instances in place of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+
+from .feeds import READER_WAIT_S, Feed, StoreContact
+from .readers import choose_sources
+from .relay import PEER_TIMEOUT_S, PeerClient, RelayAnswer, RelayChanges, decode_changes
+from .state import Gateway
+
+# A poll without news returns after this time, and tells how fresh the source is.
+POLL_WAIT_S = 1.0
+# A source is fresh if the store has confirmed its picture within the time of a reader's watch, the
+# time-out of a call, and a poll; a reader that has lost the store says so earlier.
+FRESH_S = READER_WAIT_S + 1.5 + POLL_WAIT_S
+# How often the sources are chosen again.
+CHECK_S = 0.5
+RETRY_S = 0.3
+# A source that has not answered for so long is passed over for a while: a restart takes a second.
+UNREACHABLE_AFTER_S = 2.5
+PASS_OVER_S = 10.0
+
+
+class Follower:
+    """Polls the sources of this instance, and tells the feeds when these are enough.
+
+    Times are in seconds of the event loop's clock.
+    """
+
+    __slots__ = (
+        "gateway",
+        "feeds_by_kind",
+        "contact",
+        "peers",
+        "answered_at_by_source",
+        "fresh_at_by_source",
+        "unreachable_until",
+        "_tasks_by_source",
+    )
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        feeds_by_kind: Mapping[str, Feed],
+        contact: StoreContact,
+        peers: PeerClient,
+    ) -> None:
+        self.gateway = gateway
+        self.feeds_by_kind = feeds_by_kind
+        self.contact = contact
+        self.peers = peers
+        self.answered_at_by_source: dict[str, float] = {}
+        self.fresh_at_by_source: dict[str, float] = {}
+        self.unreachable_until: dict[str, float] = {}
+        self._tasks_by_source: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Choose sources and follow them until cancelled."""
+        try:
+            while True:
+                sources = self.choose()
+                self.update_tasks(sources)
+                self.update_contact(sources)
+                await asyncio.sleep(CHECK_S)
+        finally:
+            self.update_tasks([])
+
+    def choose(self) -> list[str]:
+        """Return the instances to follow; none if this one watches the store."""
+        now = self.gateway.now()
+        own = self.gateway.settings.instance
+        domains_by_instance = self.peers.domains_by_instance
+        domain = {
+            name
+            for name in self.peers.addresses_by_instance
+            if domains_by_instance.get(name) == self.gateway.settings.failure_domain
+        }
+        unreachable = {name for name, until in self.unreachable_until.items() if now < until}
+        return choose_sources(own, domain | {own}, unreachable)
+
+    def update_tasks(self, sources: list[str]) -> None:
+        """Poll these sources and no others."""
+        for name in self._tasks_by_source.keys() - set(sources):
+            self._tasks_by_source.pop(name).cancel()
+            self.fresh_at_by_source.pop(name, None)
+        for name in sources:
+            if name not in self._tasks_by_source:
+                self.answered_at_by_source[name] = self.gateway.now()
+                self._tasks_by_source[name] = asyncio.create_task(self.poll(name))
+
+    def update_contact(self, sources: list[str]) -> None:
+        """Tell the feeds whether a source is fresh, so that they need not ask the store."""
+        now = self.gateway.now()
+        ages_by_source = {
+            name: round(now - self.fresh_at_by_source[name], 1)
+            for name in sources
+            if name in self.fresh_at_by_source
+        }
+        is_fed = any(age < FRESH_S for age in ages_by_source.values())
+        if is_fed == self.contact.is_fed:
+            return
+        self.gateway.log.info(
+            "store_followed" if is_fed else "store_watched",
+            sources=",".join(sources),
+            ages_s=",".join(f"{name}:{age}" for name, age in ages_by_source.items()),
+        )
+        self.contact.set_fed(is_fed)
+
+    async def poll(self, name: str) -> None:
+        """Poll one source until cancelled."""
+        while True:
+            revisions_by_kind = {
+                kind: -1 if feed.revision is None else feed.revision
+                for kind, feed in self.feeds_by_kind.items()
+            }
+            address = self.peers.addresses_by_instance.get(name)
+            answer = None
+            if address is not None:
+                answer = await self.peers.poll(address, revisions_by_kind, POLL_WAIT_S)
+            if answer is None:
+                self.note_silence(name)
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.take(name, answer)
+            if answer.is_lost:
+                self.fresh_at_by_source.pop(name, None)
+                await asyncio.sleep(RETRY_S)
+
+    def note_silence(self, name: str) -> None:
+        """Pass over a source that has not answered for some time."""
+        now = self.gateway.now()
+        silent_s = now - self.answered_at_by_source[name]
+        if silent_s < UNREACHABLE_AFTER_S:
+            return
+        self.unreachable_until[name] = now + PASS_OVER_S
+        self.gateway.log.warning("source_unreachable", source=name, silent_s=round(silent_s, 1))
+
+    def apply(self, kind: str, changes: RelayChanges) -> None:
+        """Apply the news of one kind; after a fault everything is read again from the store."""
+        feed = self.feeds_by_kind[kind]
+        try:
+            feed.apply(decode_changes(changes))
+        except Exception:
+            self.gateway.log.exception("feed_failed", kind=kind, revision=changes.revision)
+            feed.must_list = True
+            self.contact.set_fed(False)
+
+    def take(self, name: str, answer: RelayAnswer) -> None:
+        """Take over the news of a source, and how fresh it is."""
+        now = self.gateway.now()
+        self.answered_at_by_source[name] = now
+        if answer.failed_age_s is not None:
+            self.contact.failed_at = max(self.contact.failed_at, now - answer.failed_age_s)
+        for kind, changes in answer.changes_by_kind.items():
+            self.apply(kind, changes)
+        if answer.age_s is None or answer.is_lost:
+            return
+        # The answer may have been on its way for a while.
+        fresh_at = now - answer.age_s - PEER_TIMEOUT_S
+        self.fresh_at_by_source[name] = max(self.fresh_at_by_source.get(name, fresh_at), fresh_at)
+        self.contact.confirmed_at = max(self.contact.confirmed_at, fresh_at)
--- a/flamingostack/gateway/model.py
+++ b/flamingostack/gateway/model.py
@@ -16,6 +16,7 @@
         "peer_address",
         "metrics_host",
         "store_url",
+        "store_history_s",
         "shutdown_grace_s",
         "extra_send_ratio",
         "extra_send_slack",
@@ -34,6 +35,7 @@
         peer_address: Address,
         metrics_host: str,
         store_url: str,
+        store_history_s: float,
         shutdown_grace_s: float,
         extra_send_ratio: float,
         extra_send_slack: float,
@@ -48,6 +50,8 @@
         self.peer_address = peer_address
         self.metrics_host = metrics_host
         self.store_url = store_url
+        # For how long the store remembers changes, unless it discards them sooner.
+        self.store_history_s = store_history_s
         self.shutdown_grace_s = shutdown_grace_s
         # Sends beyond the first of each request, over all instances: in each window a service may
         # get the ratio of its requests plus the slack.
@@ -234,13 +238,17 @@
 
 
 class StoredRecords:
-    """Objects of one kind, and the store's revision at which they were read."""
+    """Objects of one kind, and the store's revision at which they were read.
 
-    __slots__ = ("records", "revision")
+    All objects if `is_whole`, else those that have changed.
+    """
+
+    __slots__ = ("records", "revision", "is_whole")
 
-    def __init__(self, records: list[StoredRecord], revision: int) -> None:
+    def __init__(self, records: list[StoredRecord], revision: int, is_whole: bool) -> None:
         self.records = records
         self.revision = revision
+        self.is_whole = is_whole
 
 
 class TargetLoad:
--- a/flamingostack/platform/objects.py
+++ b/flamingostack/platform/objects.py
@@ -77,7 +77,7 @@
                 return StoreFailure(StoreReason.UNAVAILABLE, f"{kind}: malformed list: {error!r}")
             records += page
             if not has_more:
-                return StoredRecords(records, revision)
+                return StoredRecords(records, revision, is_whole=True)
             after = page[-1].name
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> StoredRecords | StoreFailure:
@@ -96,7 +96,7 @@
                 if event.get("deleted"):
                     record.value = None
                 records.append(record)
-            return StoredRecords(records, answer["atRevision"])
+            return StoredRecords(records, answer["atRevision"], is_whole=False)
         except (KeyError, TypeError, AttributeError) as error:
             return StoreFailure(StoreReason.UNAVAILABLE, f"{kind}: malformed events: {error!r}")
 
--- a/flamingostack/platform/settings.py
+++ b/flamingostack/platform/settings.py
@@ -11,6 +11,8 @@
 
 PATH_VARIABLE = "FLAMINGOSTACK_NODE_FILE"
 DEFAULT_PATH = "/etc/flamingostack/local.conf"
+# Both deployments have this; it only decides when a watch is renewed.
+DEFAULT_HISTORY_S = 20.0
 
 
 def read_settings_text(variables: Mapping[str, str]) -> str | None:
@@ -66,6 +68,7 @@
             raise ValueError(f"{key}: {result} is out of range")
         return result
 
+    has_history = "platform.historyS" in values_by_key
     ip_address = values_by_key["ipAddress"]
     first_port = values_by_key["internalPortRange"].partition(",")[0]
     return InstanceSettings(
@@ -76,6 +79,7 @@
         peer_address=parse_address(f"{ip_address}:{first_port}"),
         metrics_host=ip_address,
         store_url=f"http://{values_by_key['platform.address']}",
+        store_history_s=number("platform.historyS") if has_history else DEFAULT_HISTORY_S,
         shutdown_grace_s=number("bounds.gracePeriodS"),
         extra_send_ratio=number("bounds.retryBudgetRatio"),
         extra_send_slack=number("bounds.retryBudgetSlack"),
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -12,7 +12,8 @@
 from aiohttp import web
 from yarl import URL
 
-from flamingostack.gateway.feeds import make_feeds
+from flamingostack.gateway.feeds import StoreContact, make_feeds
+from flamingostack.gateway.follower import Follower
 from flamingostack.gateway.main import listen, shut_down
 from flamingostack.gateway.model import InstanceSettings
 from flamingostack.gateway.relay import PeerClient, make_relay_server
@@ -270,6 +271,7 @@
             "peer_address": (HOST, 1),
             "metrics_host": HOST,
             "store_url": store_url,
+            "store_history_s": 20.0,
             "shutdown_grace_s": 6.0,
             "extra_send_ratio": 0.2,
             "extra_send_slack": 50.0,
@@ -312,9 +314,12 @@
         self.gateway.budget.started_at -= self.settings.extra_send_window_s
         self.objects = ObjectStore(self.store.url)
         self.peers = PeerClient()
-        self.feeds_by_kind = make_feeds(self.gateway, self.objects, self.peers)
+        self.contact = StoreContact(loop.time)
+        self.feeds_by_kind = make_feeds(self.gateway, self.objects, self.peers, self.contact)
+        self.follower = Follower(self.gateway, self.feeds_by_kind, self.contact, self.peers)
         self.tasks = [asyncio.create_task(feed.run()) for feed in self.feeds_by_kind.values()]
-        self.relay = await listen(make_relay_server(self.feeds_by_kind), (HOST, 0))
+        self.tasks.append(asyncio.create_task(self.follower.run()))
+        self.relay = await listen(make_relay_server(self.feeds_by_kind, self.contact), (HOST, 0))
         self.relay_port = self.relay.sockets[0].getsockname()[1]
         self.server = CallerServer(self.gateway)
         self.listener = await listen(self.server, (HOST, 0))
--- /dev/null
+++ b/tests/gateway/test_follower.py
@@ -0,0 +1,135 @@
+"""Tests of flamingostack.gateway.follower: instances that follow others in place of the store."""
+
+import asyncio
+import unittest
+
+from flamingostack.gateway.follower import FRESH_S
+from flamingostack.gateway.readers import choose_sources
+
+from .fakes import (
+    HOST,
+    FakeObjectStore,
+    FakeTarget,
+    GatewayCase,
+    RunningGateway,
+    make_configuration,
+    make_route,
+    wait_until,
+)
+
+ROUTE = make_route("one", service="one")
+NAMES = [f"front-a-{number}" for number in range(7)]
+
+
+class FollowerTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against calls to the store that grow with the fleet, and against a stale follower."""
+
+    async def start_domain(self) -> None:
+        """Start a failure domain of seven instances, each with a path of its own to the store."""
+        self.target = FakeTarget()
+        first = await self.start_gateway({"one": [self.target]}, [ROUTE], instance=NAMES[0])
+        self.running_by_name = {NAMES[0]: first}
+        for name in NAMES[1:]:
+            running = RunningGateway(self.store, instance=name)
+            await running.start()
+            self.addAsyncCleanup(running.stop)
+            self.running_by_name[name] = running
+        for name, running in self.running_by_name.items():
+            entry = {"failure_domain": "a", "address": f"{HOST}:{running.relay_port}"}
+            self.store.put("flamingostack-instances", name, entry)
+        self.readers = [name for name in NAMES if not choose_sources(name, NAMES, ())]
+        self.followers = [name for name in NAMES if name not in self.readers]
+        await wait_until(lambda: all(self.is_fed(name) for name in self.followers))
+        # The watches of before have returned, and are not renewed.
+        self.store.put("config", "main", make_configuration(8, [ROUTE], ["one"]))
+        self.store.put("servers", self.target.id, self.target.entry("one", version="v2"))
+        self.store.put("evacuations", "z", {})
+        await wait_until(lambda: set(self.versions().values()) == {8})
+
+    def is_fed(self, name: str) -> bool:
+        return self.running_by_name[name].contact.is_fed
+
+    def versions(self) -> dict[str, int]:
+        return {
+            name: running.gateway.routes.configuration.version
+            for name, running in self.running_by_name.items()
+        }
+
+    async def test_only_readers_call_the_store_and_all_learn_at_once(self):
+        await self.start_domain()
+        self.assertEqual([name for name in NAMES if self.is_fed(name)], self.followers)
+        await asyncio.sleep(1.0)
+        self.store.calls.clear()
+        for version in range(20, 25):
+            self.store.put("config", "main", make_configuration(version, [ROUTE], ["one"]))
+            async with asyncio.timeout(1.0):
+                await wait_until(lambda: set(self.versions().values()) == {version})  # noqa: B023
+        watches = [call for call in self.store.calls if "/config?watch" in call]
+        # One for each version and reader; with seven readers there were 35.
+        self.assertLessEqual(len(watches), 5 * len(self.readers) + len(self.readers))
+
+    async def test_deletions_arrive_through_readers(self):
+        await self.start_domain()
+        self.store.put("evacuations", "a", {})
+        for is_evacuated in (True, False):
+            if not is_evacuated:
+                self.store.delete("evacuations", "a")
+            await wait_until(
+                lambda: all(
+                    ("a" in running.gateway.directory.evacuated_domains) == is_evacuated  # noqa: B023
+                    for running in self.running_by_name.values()
+                )
+            )
+        self.store.delete("servers", self.target.id)
+        await wait_until(
+            lambda: (
+                not any(r.gateway.directory.targets_by_id for r in self.running_by_name.values())
+            )
+        )
+
+    async def test_reader_that_is_cut_off_from_the_store_keeps_nobody_behind(self):
+        await self.start_domain()
+        silent = FakeObjectStore()
+        await silent.start()
+        self.addAsyncCleanup(silent.stop)
+        silent.is_silent = True
+        cut = self.running_by_name[self.readers[0]]
+        cut.objects.url = f"{silent.url}/-/objects"
+        # Its watch under way ends with this version, and the next one goes into the silence.
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        await wait_until(lambda: set(self.versions().values()) == {20})
+        self.store.put("config", "main", make_configuration(21, [ROUTE], ["one"]))
+        async with asyncio.timeout(1.0):
+            await wait_until(lambda: all(self.versions()[name] == 21 for name in self.followers))
+
+    async def test_followers_of_dead_readers_watch_the_store(self):
+        await self.start_domain()
+        for name in self.readers:
+            await self.running_by_name.pop(name).stop()
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        async with asyncio.timeout(FRESH_S + 2):
+            await wait_until(lambda: set(self.versions().values()) == {20})
+
+    async def test_outage_that_readers_have_seen_holds_lapsed_entries_everywhere(self):
+        await self.start_domain()
+        name = self.followers[0]
+        follower = self.running_by_name[name]
+        reader = self.running_by_name[self.readers[0]]
+        reader.contact.failed_at = reader.gateway.now()
+        await wait_until(lambda: follower.contact.failed_at > 0)
+        self.store.delete("servers", self.target.id)
+        directory = follower.gateway.directory
+        await wait_until(lambda: directory.next_removal_at is not None)
+        self.assertIn(self.target.id, directory.targets_by_id)
+
+    async def test_pictures_never_go_back(self):
+        await self.start_domain()
+        follower = self.running_by_name[self.followers[0]]
+        feed = follower.feeds_by_kind["config"]
+        known = feed.changes_since(-1)
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        await wait_until(lambda: follower.gateway.routes.configuration.version == 20)
+        revision = feed.revision
+        feed.apply(known)
+        self.assertEqual(feed.revision, revision)
+        self.assertEqual(feed.records_by_name["main"].value["version"], 20)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from flamingostack.gateway.relay import decode_picture
+from flamingostack.gateway.relay import decode_answer
 
 from .fakes import (
     HOST,
@@ -62,5 +62,5 @@
         self.assertIsNone(await served.peers.fetch("config", 0))
 
     def test_unreadable_picture_is_refused(self):
-        for body in (b"", b"{}", b'{"revision": "x", "records": []}', b"\xff"):
-            self.assertIsNone(decode_picture(body))
+        for body in (b"", b"{}", b'{"age_s": "x", "is_lost": false}', b"\xff"):
+            self.assertIsNone(decode_answer(body))
