Weigh a slow answer by the time since the last one

Cause: an instance of a fleet of 91 sends to a target about once a second.

Ruled out: a larger weight for all observations, which would let single pauses decide at a busy instance.

Change: an observation counts for the share of the earlier ones that one half-life of a second has forgotten since, and 0.3 at least.

--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -14,7 +14,10 @@
 # recovered is tried again. A failed try costs another send, a slow one often only time.
 SLOWDOWN_HALF_LIFE_S = 2.5
 FAILURE_HALF_LIFE_S = 4.0
+# How much an observation counts among many; one that comes after a while counts for more, since an
+# instance of a large fleet sends to a target about once a second, and a slowdown lasts seconds.
 SLOWDOWN_WEIGHT = 0.3
+SLOWDOWN_MEMORY_S = 1.0
 FAILURE_WEIGHT = 0.25
 MAX_SLOWDOWN = 20.0
 # A report of load is used for as long as a queue of a few requests takes to change.
@@ -132,7 +135,9 @@
     def record_slowdown(self, slowdown: float, now: float) -> None:
         """Move the expected slowdown towards an observed one."""
         current = self.current_slowdown(now)
-        self.slowdown = current + (min(slowdown, MAX_SLOWDOWN) - current) * SLOWDOWN_WEIGHT
+        forgotten = 1 - decay(now - self.slowdown_at, SLOWDOWN_MEMORY_S)
+        weight = max(SLOWDOWN_WEIGHT, forgotten)
+        self.slowdown = current + (min(slowdown, MAX_SLOWDOWN) - current) * weight
         self.slowdown_at = now
 
     def record_failure(self, now: float) -> None:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -62,6 +62,16 @@
         self.assertIs(choose(self.targets, 1.0), self.far)
         self.assertIs(choose(self.targets, 12.0), self.near)
 
+    def test_target_that_gets_one_request_a_second_is_left_after_the_first_slow_one(self):
+        # Load pattern: 91 instances, 15% of the targets turn nine times slower for 8 s.
+        for second in range(5):
+            self.near.record_answer(1.0, None, float(second))
+        self.near.record_answer(9.0, None, 5.0)
+        self.assertIs(choose(self.targets, 5.8), self.far)
+        self.near.record_answer(1.0, None, 7.0)
+        self.near.record_answer(1.0, None, 8.0)
+        self.assertIs(choose(self.targets, 8.1), self.near)
+
     def test_target_that_sheds_half_of_its_requests_is_left(self):
         for _ in range(4):
             self.near.record_shed(None, 1.0, False)
