Test that a slow target stays left for some seconds

The test of the commit before passed without its change: the first slow answer moved the choice there, too, but only for two seconds. This one fails without the change.

--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -67,10 +67,10 @@
         for second in range(5):
             self.near.record_answer(1.0, None, float(second))
         self.near.record_answer(9.0, None, 5.0)
-        self.assertIs(choose(self.targets, 5.8), self.far)
-        self.near.record_answer(1.0, None, 7.0)
-        self.near.record_answer(1.0, None, 8.0)
-        self.assertIs(choose(self.targets, 8.1), self.near)
+        for at in (5.8, 6.6, 7.4, 8.0):
+            self.assertIs(choose(self.targets, at), self.far)
+        self.near.record_answer(1.0, None, 10.0)
+        self.assertIs(choose(self.targets, 10.1), self.near)
 
     def test_target_that_sheds_half_of_its_requests_is_left(self):
         for _ in range(4):
