Keep to one of several foreign targets that look alike

Ruled out: more connections for each instance; two requests of one instance meet at a target in 2% of sends.

Change: each instance has an order of its own for foreign targets, by a hash, worth half of a usual latency.

Before and after: the new test fails without the order (a random choice keeps to one in 40% of sends).

--- a/flamingostack/gateway/placement.py
+++ b/flamingostack/gateway/placement.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections.abc import Iterable
 
 from .targets import Target
@@ -17,6 +18,10 @@
 # A foreign target has to be faster by this many usual latencies, since bytes between failure
 # domains are paid for.
 FOREIGN_PENALTY = 1.0
+# Beyond that, foreign targets that look alike differ by up to this many usual latencies, by an
+# order that each instance has of its own. An instance without a target of its own failure domain
+# then keeps to one of the others, whose connection stays open.
+FOREIGN_SPREAD = 0.5
 # A send that has waited for this many usual latencies shows that its target is stalled.
 STALLED_LATENCIES = 3.0
 STALLED_MIN_S = 0.02
@@ -55,6 +60,11 @@
         return share + (self.rank < rest)
 
 
+def rank_foreign(instance: str, target_id: str) -> float:
+    """Return the place of a target in an instance's order of foreign ones, from 0 to 1."""
+    return zlib.crc32(f"{instance} {target_id}".encode()) / 0xFFFFFFFF
+
+
 def choose_target(
     targets: Iterable[Target],
     *,
@@ -114,5 +124,6 @@
     if target.in_flight >= target.usual_connections:
         expected += CONNECTION_LATENCIES * latency_s
     if target.entry.failure_domain != own_domain:
-        expected += FOREIGN_ROUND_TRIP_S + FOREIGN_PENALTY * latency_s
+        penalty = FOREIGN_PENALTY + FOREIGN_SPREAD * target.foreign_rank
+        expected += FOREIGN_ROUND_TRIP_S + penalty * latency_s
     return expected
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -4,7 +4,7 @@
 import unittest
 
 from flamingostack.gateway.model import TargetEntry, TargetLoad
-from flamingostack.gateway.placement import ColdShare, choose_target
+from flamingostack.gateway.placement import ColdShare, choose_target, rank_foreign
 from flamingostack.gateway.targets import Target
 
 LATENCY_S = 0.04
@@ -122,6 +122,22 @@
             counts[choose(targets)] += 1
         self.assertGreater(min(counts.values()), 60)
 
+    def test_instances_without_a_target_of_their_own_keep_to_one_and_spread(self):
+        # Load pattern: a failure domain of 25 instances without targets, 36 shards of three each.
+        # With a random choice each instance opened connections to all three again and again.
+        chosen = []
+        for number in range(25):
+            targets = [make_target(f"i-{shard}", f"d{shard}") for shard in range(3)]
+            for target in targets:
+                target.foreign_rank = rank_foreign(f"front-{number}", target.entry.id)
+            picks = [choose(targets, own_domain="z") for _ in range(40)]
+            favourite = max(targets, key=picks.count)
+            chosen.append((favourite.entry.id, picks.count(favourite)))
+        kept = sum(count for _, count in chosen) / (25 * 40)
+        self.assertGreater(kept, 0.75)
+        users = [sum(id == f"i-{shard}" for id, _ in chosen) for shard in range(3)]
+        self.assertGreater(min(users), 3)
+
     def test_cold_target_gets_its_share_in_any_second_over_all_instances(self):
         # 4 a second, 1.5 times, and 5: at most 11 in a second, whoever sends them.
         sent = []
