Revert "Pass queries to an instance next to the targets"

The cause given in the reverted commit, a failure domain without targets, was read from the site file and is wrong.

Ruled out: a fault in the code; its tests pass, and no instance was refused.

Change: reverted as a whole.

Conclusion: each instance sends a quarter of its parts, and most hedges, to other failure domains; passing single parts on saves nothing.

--- a/flamingostack/gateway/fanout.py
+++ b/flamingostack/gateway/fanout.py
@@ -53,13 +53,10 @@
         "next_try_at",
         "blocked_since",
         "tried",
-        "is_repeat",
     )
 
-    def __init__(self, service: str, is_repeat: bool = False) -> None:
+    def __init__(self, service: str) -> None:
         self.service = service
-        # Another instance may have sent it before.
-        self.is_repeat = is_repeat
         self.state = PartState.OPEN
         # Sends that may have run.
         self.sends = 0
@@ -75,7 +72,7 @@
     @property
     def is_extra(self) -> bool:
         """Whether the next send counts as an extra one."""
-        return bool(self.is_repeat or self.sends or self.not_run)
+        return bool(self.sends or self.not_run)
 
 
 class Send:
@@ -128,9 +125,8 @@
         goal_at: float,
         limit_at: float,
         may_hedge: bool,
-        is_repeat: bool = False,
     ) -> None:
-        self.parts = [Part(service, is_repeat) for service in services]
+        self.parts = [Part(service) for service in services]
         self.needed = max(min_parts(len(services), min_coverage), 1)
         self.max_sends = max_sends
         self.goal_at = goal_at
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -18,13 +18,12 @@
 from ..platform.settings import load_instance_settings, read_settings_text
 from ..status import ExitStatus
 from ..store import StoreFailure
-from .delegate import Delegates
 from .feeds import Feed, StoreContact, make_feeds
 from .follower import Follower
 from .model import Address, InstanceSettings
-from .relay import PeerClient
+from .relay import PeerClient, make_relay_server
 from .sender import Sender
-from .server import CallerServer, make_metrics_server, make_peer_server, make_readiness_server
+from .server import CallerServer, make_metrics_server, make_readiness_server
 from .state import Gateway
 
 METRICS_PORT = 9464
@@ -64,8 +63,7 @@
     server = CallerServer(gateway)
     listener = await listen(server, settings.caller_address)
     await listen(make_readiness_server(gateway), settings.readiness_address)
-    gateway.delegates = Delegates(gateway, peers)
-    await listen(make_peer_server(gateway, feeds_by_kind, contact), settings.peer_address)
+    await listen(make_relay_server(feeds_by_kind, contact), settings.peer_address)
     await listen(make_metrics_server(gateway), (settings.metrics_host, METRICS_PORT))
     log.info("started", address=settings.caller_address, pid=os.getpid())
     await gateway.shutdown.requested()
@@ -74,7 +72,6 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     await store.close()
-    await gateway.delegates.close()
     await peers.close()
     await sender.close()
     log.info("stopped")
@@ -150,7 +147,7 @@
     gateway.shutdown.phase = Phase.FINISHING
     listener.close()
     end_at = began_at + grace_s * (1 - EXIT_SHARE)
-    while (server.connections or gateway.shutdown.running) and gateway.now() < end_at:
+    while server.connections and gateway.now() < end_at:
         for connection in server.connections:
             connection.close_between_requests()
         await asyncio.sleep(CLOSE_INTERVAL_S)
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -43,7 +43,6 @@
     # Some of it may have run.
     TOO_FEW_PARTS = "too_few_parts"
     DEADLINE = "deadline"
-    DELEGATE_LOST = "delegate_lost"
 
 
 class QueryFailure(Failure[QueryReason]):
@@ -59,13 +58,11 @@
 class Caller:
     """How long the caller waits, in seconds from the request's arrival."""
 
-    __slots__ = ("arrived_at", "time_left_s", "goal_at")
+    __slots__ = ("arrived_at", "time_left_s")
 
-    def __init__(self, arrived_at: float, time_left_s: float, goal_at: float | None = None) -> None:
+    def __init__(self, arrived_at: float, time_left_s: float) -> None:
         self.arrived_at = arrived_at
         self.time_left_s = time_left_s
-        # When an answer has to leave to arrive within the goal; None until it is worked out.
-        self.goal_at = goal_at
 
 
 class QueryRun:
@@ -281,45 +278,25 @@
             task.cancel()
 
 
-def find_goal_at(gateway: Gateway, route: Route, caller: Caller) -> float:
-    """Return when an answer has to leave to arrive within the goal, and note the caller's time."""
-    if caller.goal_at is None:
-        time_left = gateway.stats(route).time_left
-        time_left.record(caller.time_left_s)
-        # The goal of a caller that has tried before began back then.
-        goal_s = route.goal_s - time_left.spent_s(caller.time_left_s)
-        goal_s -= max(route.goal_s * GOAL_MARGIN_SHARE, MIN_GOAL_MARGIN_S)
-        goal_s -= gateway.caller_round_trip_s(caller.arrived_at)
-        caller.goal_at = caller.arrived_at + goal_s
-    return caller.goal_at
-
-
 def make_plan(
-    gateway: Gateway,
-    route: Route,
-    services: list[str],
-    min_coverage: float,
-    caller: Caller,
-    is_repeat: bool = False,
+    gateway: Gateway, route: Route, services: list[str], min_coverage: float, caller: Caller
 ) -> FanOutPlan:
-    """Return the plan of a request that arrived just now.
-
-    `is_repeat` if another instance may have sent each part once.
-    """
+    """Return the plan of a request that arrived just now."""
     stats = gateway.stats(route)
-    now = gateway.now()
-    goal_s = find_goal_at(gateway, route, caller) - now
-    if goal_s < stats.usual_latency_s(route, now):
+    stats.time_left.record(caller.time_left_s)
+    # The goal of a caller that has tried before began back then.
+    goal_s = route.goal_s - stats.time_left.spent_s(caller.time_left_s)
+    goal_s -= max(route.goal_s * GOAL_MARGIN_SHARE, MIN_GOAL_MARGIN_S)
+    goal_s -= gateway.caller_round_trip_s(caller.arrived_at)
+    if goal_s < stats.usual_latency_s(route, caller.arrived_at):
         # The goal is missed, so that there is time for all parts, and for a second send of each.
-        goal_s = 2 * stats.hedge_after_s(route, now)
+        goal_s = 2 * stats.hedge_after_s(route, caller.arrived_at)
     limit_s = min(caller.time_left_s, route.timeout_s)
-    max_sends = route.max_sends if route.is_idempotent else 1
     return FanOutPlan(
         services,
         min_coverage=min_coverage,
-        max_sends=max(max_sends - is_repeat, 1),
-        goal_at=now + goal_s,
+        max_sends=route.max_sends if route.is_idempotent else 1,
+        goal_at=caller.arrived_at + goal_s,
         limit_at=caller.arrived_at + limit_s - ANSWER_RESERVE_S,
         may_hedge=route.is_idempotent,
-        is_repeat=is_repeat,
     )
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -12,7 +12,7 @@
 
 import random
 import zlib
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from .feeds import Feed, StoreContact
 
-FEEDS_PATH = "/v1/feeds"
+PATH = "/v1/feeds"
 # A round trip between failure domains takes 8 ms; a peer that does not answer is passed over.
 PEER_TIMEOUT_S = 0.5
 # A poll waits at most so long for news, whatever is asked.
@@ -117,7 +117,7 @@
         answer = await send_request(
             self._session,
             "GET",
-            f"http://{address}{FEEDS_PATH}?wait_ms={int(wait_s * MS_PER_S)}&{query}",
+            f"http://{address}{PATH}?wait_ms={int(wait_s * MS_PER_S)}&{query}",
             timeout_s=wait_s + PEER_TIMEOUT_S,
             connect_s=PEER_TIMEOUT_S,
         )
@@ -154,10 +154,8 @@
     return StoredRecords(records, changes.revision, changes.is_whole)
 
 
-def make_relay_handler(
-    feeds_by_kind: Mapping[str, Feed], contact: StoreContact
-) -> Callable[[web.BaseRequest], Awaitable[web.Response]]:
-    """Return the handler of other instances' polls."""
+def make_relay_server(feeds_by_kind: Mapping[str, Feed], contact: StoreContact) -> web.Server:
+    """Return the server that other instances ask."""
     encoder = AnswerEncoder()
 
     async def handle(request: web.BaseRequest) -> web.Response:
@@ -167,7 +165,7 @@
             for kind, text in request.query.items()
             if kind in feeds_by_kind and text.lstrip("-").isdigit()
         }
-        if not wait_ms.isdigit() or not revisions_by_kind:
+        if request.path != PATH or not wait_ms.isdigit() or not revisions_by_kind:
             return web.Response(status=404)
         contact.note_poll()
         wait_s = min(int(wait_ms) / MS_PER_S, MAX_POLL_WAIT_S)
@@ -175,7 +173,7 @@
         body = encoder.encode(revisions_by_kind, answer)
         return web.Response(body=body, content_type="application/octet-stream")
 
-    return handle
+    return web.Server(handle, access_log=None)
 
 
 async def make_answer(
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -4,20 +4,16 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from ..entry.shutdown import Phase
 from ..platform import messages
-from .delegate import QUERIES_PATH, NoAnswer, take_query
 from .fanout import PartState
-from .feeds import Feed, StoreContact
 from .model import CallerLimits, FanOut, Route, SingleService, WeightedServices
-from .query import Caller, QueryFailure, QueryReason, QueryRun, find_goal_at, make_plan
+from .query import Caller, QueryFailure, QueryReason, QueryRun, make_plan
 from .records import merge_records
-from .relay import FEEDS_PATH, make_relay_handler
 from .routing import draw_service
 from .sender import OutgoingRequest, SendResult
 from .state import Gateway
@@ -39,7 +35,6 @@
     QueryReason.NO_TARGET: 503,
     QueryReason.OVERLOADED: 503,
     QueryReason.TOO_FEW_PARTS: 502,
-    QueryReason.DELEGATE_LOST: 502,
     QueryReason.DEADLINE: 504,
 }
 
@@ -146,38 +141,11 @@
         messages.select_forwarded(request.headers),
         body,
     )
-    host = request.headers.get("Host", "")
-    return await pass_on_or_carry_out(gateway, outgoing, route, caller, host)
-
-
-async def pass_on_or_carry_out(
-    gateway: Gateway, request: OutgoingRequest, route: Route, caller: Caller, host: str
-) -> web.Response:
-    """Let an instance next to the targets carry out a query, if there is one, or do it here."""
-    delegate = gateway.delegates.choose(request, route) if gateway.delegates else None
-    if delegate is None:
-        return await carry_out(gateway, request, route, caller)
-    find_goal_at(gateway, route, caller)
-    result = await gateway.delegates.send(delegate, request, host, caller)
-    match result:
-        case NoAnswer.NOT_TAKEN:
-            return await carry_out(gateway, request, route, caller)
-        case NoAnswer.SILENT:
-            return await carry_out(gateway, request, route, caller, is_repeat=True)
-        case NoAnswer.LOST:
-            # It may have sent each part as often as is allowed; the caller may try again.
-            failure = QueryFailure(QueryReason.DELEGATE_LOST, f"lost at {delegate}", False)
-            return answer_failure(gateway, request, route, caller, failure, None)
-    report(gateway, request, route, caller, result.status, None, delegate=delegate)
-    return result
+    return await carry_out(gateway, outgoing, route, caller)
 
 
 async def carry_out(
-    gateway: Gateway,
-    request: OutgoingRequest,
-    route: Route,
-    caller: Caller,
-    is_repeat: bool = False,
+    gateway: Gateway, request: OutgoingRequest, route: Route, caller: Caller
 ) -> web.Response:
     """Send a request where its route says, and make the answer."""
     match route.destination:
@@ -194,7 +162,7 @@
     run = None
     lost_to_load = False
     try:
-        plan = make_plan(gateway, route, services, min_coverage, caller, is_repeat)
+        plan = make_plan(gateway, route, services, min_coverage, caller)
         run = QueryRun(gateway, request, route, plan)
         failure = await run.run()
         # A merged answer that lacks an overloaded shard is no loss to the other shards.
@@ -375,22 +343,6 @@
     return web.Server(handle, access_log=None)
 
 
-def make_peer_server(
-    gateway: Gateway, feeds_by_kind: Mapping[str, Feed], contact: StoreContact
-) -> web.Server:
-    """Return the server for other instances: the picture of the store, and their queries."""
-    relay = make_relay_handler(feeds_by_kind, contact)
-
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        if request.path == FEEDS_PATH:
-            return await relay(request)
-        if request.path == QUERIES_PATH:
-            return await take_query(gateway, request, carry_out)
-        return web.Response(status=404)
-
-    return web.Server(handle, access_log=None, handler_cancellation=True)
-
-
 def make_metrics_server(gateway: Gateway) -> web.Server:
     """Return the server of the metrics in the Prometheus text format."""
 
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import structlog
 
@@ -15,13 +14,10 @@
 from .directory import Directory
 from .fanout import MIN_HEDGE_LATENCIES
 from .model import Configuration, InstanceSettings, Route
-from .placement import ColdShare, rank_among
+from .placement import ColdShare, rank_foreign
 from .routing import RouteTable
 from .sender import Sender
 
-if TYPE_CHECKING:
-    from .delegate import Delegates
-
 # Until enough answers are known, the usual latency is taken for this share of the goal.
 ASSUMED_LATENCY_SHARE = 0.18
 ASSUMED_HEDGE_SHARE = 0.35
@@ -123,7 +119,6 @@
         "routes",
         "budget",
         "sender",
-        "delegates",
         "shutdown",
         "instances",
         "cold_share",
@@ -146,8 +141,6 @@
         self.metrics = metrics
         self.now = now
         self.sender = sender
-        # None: all queries are carried out here.
-        self.delegates: Delegates | None = None
         self.directory = Directory()
         # None before the first configuration is known.
         self.routes: RouteTable | None = None
@@ -206,7 +199,7 @@
             return
         services_by_name = self.routes.configuration.services_by_name
         for target in self.directory.targets_by_id.values():
-            target.foreign_rank = rank_among(self.settings.instance, target.entry.id)
+            target.foreign_rank = rank_foreign(self.settings.instance, target.entry.id)
             service = services_by_name.get(target.entry.service)
             if service is not None:
                 share = service.max_connections / count
--- a/soak/world.py
+++ b/soak/world.py
@@ -141,11 +141,6 @@
         address = f"{self.host}:{proxy.config.port}"
         self.store.put("servers", target.id, target.entry(address, self.now()))
 
-    def unregister(self, target: SoakTarget) -> None:
-        """Remove a target's entry, if it is there."""
-        if target.id in self.store.objects_by_kind["servers"]:
-            self.store.delete("servers", target.id)
-
     async def add_instance(self, name: str, domain: str) -> None:
         """Start a gateway process with a path of its own to the store."""
         proxy = await self.add_proxy(name, f"{self.host}:{self.store.port}")
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -12,18 +12,13 @@
 from aiohttp import web
 from yarl import URL
 
-from flamingostack.gateway.delegate import Delegates
 from flamingostack.gateway.feeds import StoreContact, make_feeds
 from flamingostack.gateway.follower import Follower
 from flamingostack.gateway.main import listen, shut_down
 from flamingostack.gateway.model import InstanceSettings
-from flamingostack.gateway.relay import PeerClient
+from flamingostack.gateway.relay import PeerClient, make_relay_server
 from flamingostack.gateway.sender import Sender
-from flamingostack.gateway.server import (
-    CallerServer,
-    make_peer_server,
-    make_readiness_server,
-)
+from flamingostack.gateway.server import CallerServer, make_readiness_server
 from flamingostack.gateway.state import Gateway
 from flamingostack.metrics import Metrics
 from flamingostack.platform.objects import ObjectStore
@@ -190,8 +185,7 @@
         self.follower = Follower(self.gateway, self.feeds_by_kind, self.contact, self.peers)
         self.tasks = [asyncio.create_task(feed.run()) for feed in self.feeds_by_kind.values()]
         self.tasks.append(asyncio.create_task(self.follower.run()))
-        self.relay_server = make_peer_server(self.gateway, self.feeds_by_kind, self.contact)
-        self.gateway.delegates = Delegates(self.gateway, self.peers)
+        self.relay_server = make_relay_server(self.feeds_by_kind, self.contact)
         self.relay = await listen(self.relay_server, (HOST, 0))
         self.relay_port = self.relay.sockets[0].getsockname()[1]
         self.server = CallerServer(self.gateway)
@@ -222,7 +216,6 @@
         self.relay.close()
         await self.server.shutdown(0.01)
         await self.relay_server.shutdown(0.01)
-        await self.gateway.delegates.close()
         await self.objects.close()
         await self.peers.close()
         await self.gateway.sender.close()
