--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,7 @@
 
 from .ledger import Arrival, Ledger, Outcome
 from .targets import RECORD_BYTES, make_records, make_signature
-from .world import BOUNDS, MAX_ATTEMPTS, MAX_RECORDS, World
+from .world import BOUNDS, MAX_ATTEMPTS, MAX_RECORDS, World, process_name
 
 PROMISE_STATUSES = (408, 421, 429, 503)
 # Bounds of the platform's pages, in seconds.
@@ -21,6 +21,8 @@
 # A request that was sent on a connection as it was closed, and not passed on, may be lost.
 LOSS_SLACK_S = 0.2 + SLACK_S
 SERVED_AFTER_FAULTS = 0.98
+# How a caller ends a request itself.
+OWN_ENDS = ("gave up", "no answer in time")
 TOLERATED_OVER_ATTEMPTS = 3
 
 
@@ -259,18 +261,21 @@
         arrivals_by_id[arrival.request_id].append(arrival)
     for instance in world.instances:
         for began_at, ended_at in instance.stops:
-            # Other faults of the instance or at targets may cut a request, too.
-            if not world.is_calm_for_stops(instance.name, began_at - STABLE_S, ended_at):
+            if not world.ledger.is_calm(process_name(instance.name), began_at - 1, ended_at):
                 continue
             for outcome in world.ledger.outcomes_by_id.values():
-                if outcome.instance != instance.name or not outcome.was_connected:
+                is_concerned = outcome.instance == instance.name and outcome.was_connected
+                is_cut = not outcome.status and outcome.error not in OWN_ENDS
+                if not is_concerned or not is_cut:
                     continue
-                if not began_at - 1 <= outcome.sent_at <= ended_at or outcome.status:
+                if not began_at - 1 <= outcome.sent_at <= ended_at:
                     continue
-                if outcome.error in ("gave up", "no answer in time"):
+                arrivals = arrivals_by_id[outcome.request_id]
+                if not all(
+                    world.ledger.is_calm(a.target, a.at - STABLE_S, ended_at) for a in arrivals
+                ):
                     continue
-                is_passed_on = outcome.request_id in arrivals_by_id
-                if is_passed_on or outcome.ended_at - outcome.sent_at > LOSS_SLACK_S:
+                if arrivals or outcome.ended_at - outcome.sent_at > LOSS_SLACK_S:
                     yield f"{outcome.request_id} on {instance.name}: {outcome.error}"
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,9 +11,10 @@
 
 from .instances import RESTART_S, Instance
 from .targets import SoakTarget
-from .world import DOMAINS, SERVICES, TARGET_FAULT, World
+from .world import DOMAINS, SERVICES, World, process_name
 
 TARGET_FAULTS = ("slow", "hang", "lose", "fail", "cut", "garbage", "twice", "shed")
+FAULTS_PER_S = 0.7
 # A process that has just started is not held to bounds in time.
 START_S = 2.0
 # After a path is free again, for what was under way.
@@ -32,6 +33,12 @@
             interval[1] = world.now() + SETTLE_S
 
 
+def name_processes(instances: list[Instance]) -> list[str]:
+    """Return the names under which faults of instances and their processes are noted."""
+    names = [instance.name for instance in instances]
+    return names + [process_name(name) for name in names]
+
+
 async def harm_path(listener: Listener, rng: random.Random, seconds: float) -> str:
     """Cut, silence, block one way, hold or delay the connections through a proxy."""
     kind = rng.choice(("cut", "refuse", "silent", "drop", "pause", "delay"))
@@ -97,7 +104,7 @@
     """Let some targets misbehave, or harm the paths to them."""
     serving = [t for t in world.targets if not t.is_draining]
     chosen = rng.sample(serving, rng.randint(1, 5))
-    held = asyncio.create_task(hold(world, [TARGET_FAULT], seconds))
+    held = asyncio.create_task(hold(world, [t.id for t in chosen], seconds))
     if rng.random() < 0.4:
         paths = [harm_path(world.proxy_by_target[t.id], rng, seconds) for t in chosen]
         kinds = await asyncio.gather(*paths)
@@ -115,7 +122,7 @@
 async def cold_restart(world: World, rng: random.Random, seconds: float) -> str:
     """Crash a target and start it cold under a new id."""
     old = rng.choice([t for t in world.targets if not t.is_draining])
-    held = asyncio.create_task(hold(world, [TARGET_FAULT], 2.0))
+    held = asyncio.create_task(hold(world, [old.id], 2.0))
     old.is_draining = True
     await old.stop()
     await asyncio.sleep(0.5)
@@ -146,8 +153,10 @@
     change = world.note("drain", old.id)
     await asyncio.sleep(5.0)
     world.unregister(old)
+    held = asyncio.create_task(hold(world, [old.id], 0.1))
     await old.stop()
     change.undone_at = world.now()
+    await held
     await asyncio.sleep(1.0)
     await replace(world, old, rng.choice(SERVICES), is_cold=False)
     # The service that it left has one target less; its failure domain gets one again.
@@ -199,14 +208,14 @@
     chosen = rng.sample(world.instances, rng.randint(1, len(world.instances)))
     for instance in chosen:
         instance.kill()
-    await hold(world, [i.name for i in chosen], RESTART_S + START_S)
+    await hold(world, name_processes(chosen), RESTART_S + START_S)
     return f"killed {[i.name for i in chosen]}"
 
 
 async def freeze(world: World, rng: random.Random, seconds: float) -> str:
     """Pause processes and let them go on."""
     chosen = rng.sample(world.instances, rng.randint(1, max(len(world.instances) // 2, 1)))
-    held = asyncio.create_task(hold(world, [i.name for i in chosen], seconds))
+    held = asyncio.create_task(hold(world, name_processes(chosen), seconds))
     for instance in chosen:
         instance.send(signal.SIGSTOP)
     await asyncio.sleep(seconds)
@@ -246,7 +255,7 @@
 async def run_faults(world: World, duration_s: float, log: Callable[[str], None]) -> None:
     """Start faults at drawn times until the duration is over, and wait for their ends."""
     rng = random.Random(world.rng.random())
-    count = max(round(duration_s * 0.6), 4)
+    count = max(round(duration_s * FAULTS_PER_S), 4)
     began_at = world.now()
     starts = sorted(rng.uniform(0.5, duration_s) for _ in range(count))
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -34,8 +34,6 @@
 START_LIMIT_S = 20.0
 PROXY_PORT = 20000
 TARGET_PORT = 30000
-# Faults at targets explain a cut request as long as this.
-TARGET_FAULT = "targets"
 
 
 class World:
@@ -230,7 +228,7 @@
         """Return all services of a route."""
         return self.services_by_fan_out.get(route) or [self.service_of_route(route)]
 
-    def is_calm_for_stops(self, instance: str, begin: float, end: float) -> bool:
-        """Tell whether a stop was the only fault that could cut a request."""
-        names = (instance, TARGET_FAULT)
-        return all(self.ledger.is_calm(name, begin, end) for name in names)
+
+def process_name(instance: str) -> str:
+    """Return the name under which faults are noted that can cut an instance's requests."""
+    return f"{instance}/process"
