--- a/soak/instances.py
+++ b/soak/instances.py
@@ -16,13 +16,13 @@
 CALLER_PORT = 8226
 READINESS_PORT = 8227
 GRACE_S = 3.0
+# The platform starts a process again after a short delay.
 RESTART_S = 0.3
-# What a process needs to notice a stop that came before it listened.
 SETTINGS = """nodeName={name}
 ipAddress={host}
 zone={domain}
-listen.front={host}:8226
-listen.readiness={host}:8227
+listen.front={host}:{caller_port}
+listen.readiness={host}:{readiness_port}
 internalPortRange=7740,7755
 bounds.gracePeriodS={grace_s}
 bounds.retryBudgetRatio={ratio}
@@ -70,6 +70,8 @@
             name=self.name,
             host=self.host,
             domain=self.domain,
+            caller_port=CALLER_PORT,
+            readiness_port=READINESS_PORT,
             store=f"{self.store_proxy.host}:{self.store_proxy.config.port}",
             **self.bounds,
         )
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,7 +10,7 @@
 from standins.proxy import Listener, ListenerConfig
 
 from .callers import HOST_NAME, Caller
-from .instances import GRACE_S, Instance
+from .instances import GRACE_S, READINESS_PORT, Instance
 from .ledger import Change, Ledger
 from .targets import SoakTarget
 
@@ -32,6 +32,7 @@
 LARGE_DOMAIN = 6
 CALLERS_PER_INSTANCE = 2
 START_LIMIT_S = 20.0
+READINESS_REQUEST = b"GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 PROXY_PORT = 20000
 TARGET_PORT = 30000
 
@@ -158,8 +159,8 @@
     async def is_listening(self, instance: Instance) -> bool:
         """Tell whether an instance says that it is ready."""
         try:
-            reader, writer = await asyncio.open_connection(instance.host, 8227)
-            writer.write(b"GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            reader, writer = await asyncio.open_connection(instance.host, READINESS_PORT)
+            writer.write(READINESS_REQUEST)
             answer = await reader.read(15)
             writer.close()
         except OSError:
