--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,6 +44,7 @@
         for line in broken:
             print(line, file=log)
     counts = f"{len(world.ledger.outcomes_by_id)} requests, {len(world.ledger.arrivals)} arrivals"
+    counts += f", late by {world.max_lag_s:.2f} s at most"
     print(f"seed {seed}: {len(broken)} broken promises, {counts}", flush=True)
     for line in broken[:10]:
         print(f"  {line}", flush=True)
@@ -78,10 +79,10 @@
     duration_s: Annotated[float, cyclopts.Parameter(help="time with faults, each seed")] = 14.0,
     jobs: Annotated[int, cyclopts.Parameter(help="seeds at a time")] = 2,
     slot: Annotated[int, cyclopts.Parameter(help="address range of this run, 0 to 99")] = 0,
-) -> int:
+) -> None:
     """Run seeds; exit status 1 if a promise was broken."""
     if seed is not None:
-        return int(bool(asyncio.run(run_seed(seed, slot, duration_s))))
+        sys.exit(int(bool(asyncio.run(run_seed(seed, slot, duration_s)))))
     if minutes is not None:
         per_seed_s = duration_s + CALM_S + 8
         count = max(int(minutes * 60 / per_seed_s * jobs), 1)
@@ -89,8 +90,8 @@
     seeds = [drawn.randrange(MAX_SEED) for _ in range(count)]
     failed = asyncio.run(run_seeds(seeds, jobs, duration_s))
     print(f"{count - failed} passed, {failed} failed")
-    return int(failed > 0)
+    sys.exit(int(failed > 0))
 
 
 if __name__ == "__main__":
-    sys.exit(app())
+    app()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -275,8 +275,14 @@
                     world.ledger.is_calm(a.target, a.at - STABLE_S, ended_at) for a in arrivals
                 ):
                     continue
-                if arrivals or outcome.ended_at - outcome.sent_at > LOSS_SLACK_S:
-                    yield f"{outcome.request_id} on {instance.name}: {outcome.error}"
+                held_s = outcome.ended_at - outcome.sent_at
+                if arrivals or held_s > LOSS_SLACK_S:
+                    after_s = outcome.sent_at - began_at
+                    yield (
+                        f"{outcome.request_id} on {instance.name}: sent {after_s:.2f} s after the "
+                        f"signal, passed on {len(arrivals)} times, {outcome.error} after "
+                        f"{held_s:.2f} s; the soak was late by {world.max_lag_s:.2f} s at most"
+                    )
 
 
 def check_recovery(world: World) -> Iterator[str]:
--- a/soak/world.py
+++ b/soak/world.py
@@ -33,6 +33,7 @@
 CALLERS_PER_INSTANCE = 2
 START_LIMIT_S = 20.0
 READINESS_REQUEST = b"GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+LAG_INTERVAL_S = 0.05
 PROXY_PORT = 20000
 TARGET_PORT = 30000
 
@@ -59,6 +60,7 @@
         self.proxy_by_target: dict[str, Listener] = {}
         self.instances: list[Instance] = []
         self.calm_from = float("inf")
+        self.max_lag_s = 0.0
         self._ports = iter(range(PROXY_PORT, TARGET_PORT))
         self._tasks: list[asyncio.Task] = []
 
@@ -74,6 +76,7 @@
     async def start(self) -> None:
         """Start everything and wait until all instances serve."""
         await self.store.start(self.host)
+        self.spawn(self.measure_lag())
         for service in SERVICES:
             for domain in DOMAINS:
                 await self.add_target(service, domain)
@@ -94,6 +97,13 @@
                 self.spawn(Caller(self, instance, random.Random(self.rng.random())).run())
             self.spawn(Caller(self, instance, random.Random(self.rng.random())).probe())
 
+    async def measure_lag(self) -> None:
+        """Measure by how much the event loop of the soak itself is late."""
+        while True:
+            due = self.now() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self.max_lag_s = max(self.max_lag_s, self.now() - due)
+
     def spawn(self, work) -> asyncio.Task:
         """Run a coroutine until the end of the run."""
         task = asyncio.create_task(work)
