--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -85,5 +85,5 @@
             changes = {"config": RelayChanges(revision, [record], False)}
             body = encoder.encode({"config": 4, "servers": 2}, RelayAnswer(frame, changes))
             self.assertEqual(decode_answer(body).changes_by_kind, changes)
-        # 80 KB of configuration; 22 followers get it over a link of 20 Mbit/s.
+        # 71 KB of configuration; 22 followers get it over a link of 20 Mbit/s.
         self.assertLess(len(body), 10_000)
