Bound what a target may send, with a protocol of our own

Interim responses and small answers without end held the loop for 0.24 and 0.29 s. A late second copy without an id reached the next request. Lines with a bare line feed and a 101 passed as answers. The client also used three private members of aiohttp.

Ruled out: limits in the subclass of aiohttp's handler. Its parser calls back into a payload queue, so that the bytes are in memory before a limit can be checked, and the private members stay. h11 was not measured.

Change: gateway/connection.py, an asyncio.Protocol with httptools as parser, a pool of idle connections, and limits in bytes, messages and header fields that are checked between slices of 8 KiB. A connection is used again only after an answer with the request's id.

Stores and peers still go through aiohttp.

--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -19,7 +19,13 @@
 )
 from .model import Route
 from .placement import can_accept, choose_target
-from .sender import NOT_RUN_OUTCOMES, OutgoingRequest, SendOutcome, SendResult
+from .sender import (
+    MIN_SEND_TIME_S,
+    NOT_RUN_OUTCOMES,
+    OutgoingRequest,
+    SendOutcome,
+    SendResult,
+)
 from .state import Gateway
 from .targets import Target
 
@@ -31,8 +37,6 @@
 OPTIONAL_SEND_BUDGET_SHARE = 0.6
 # Part of the time limit that is reserved for returning the answer to the caller.
 ANSWER_RESERVE_S = 0.015
-# No target can answer in less time than this.
-MIN_SEND_TIME_S = 0.002
 
 
 class QueryReason(Reason):
--- a/flamingostack/gateway/sender.py
+++ b/flamingostack/gateway/sender.py
@@ -4,32 +4,30 @@
 
 import asyncio
 import enum
-from functools import partial
 
-import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from multidict import CIMultiDict, CIMultiDictProxy
-from yarl import URL
+from multidict import CIMultiDict
 
 from ..platform.messages import (
     ResponseKind,
     classify_response,
-    is_for_other_request,
-    make_send_headers,
+    encode_request,
+    encode_send_headers,
     read_load,
-    read_request_id,
 )
-from ..store import make_session
+from .connection import (
+    BrokenExchange,
+    ConnectionPool,
+    ExpiredExchange,
+    Reply,
+    TargetConnection,
+    TargetResponse,
+)
 from .targets import Target
 
 # A dropped SYN is retransmitted only after one second; trying another target before that is faster.
 CONNECT_TIMEOUT_S = 0.35
-# Targets close idle connections after some seconds. Connections are closed here before that.
-IDLE_CONNECTION_TIMEOUT_S = 4.0
-# By their documentation, targets send no larger answers; the limit bounds the memory of a request.
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
-# Headers that aiohttp would add by default; the caller's headers are forwarded unchanged.
-AIOHTTP_DEFAULT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+# No target can answer in less time than this.
+MIN_SEND_TIME_S = 0.002
 
 
 class SendOutcome(enum.Enum):
@@ -65,7 +63,7 @@
         outcome: SendOutcome,
         elapsed_s: float,
         status: int = 0,
-        headers: CIMultiDictProxy[str] | None = None,
+        headers: CIMultiDict[str] | None = None,
         body: bytes = b"",
         detail: str = "",
     ) -> None:
@@ -93,7 +91,7 @@
 class OutgoingRequest:
     """The forwarded form of a caller's request; `path` is as received, still percent-encoded."""
 
-    __slots__ = ("id", "method", "path", "headers", "body")
+    __slots__ = ("id", "method", "path", "headers", "body", "_encoded")
 
     def __init__(
         self, id: str, method: str, path: str, headers: CIMultiDict[str], body: bytes
@@ -103,83 +101,36 @@
         self.path = path
         self.headers = headers
         self.body = body
+        self._encoded: bytes | None = None
 
-
-class TargetConnector(aiohttp.TCPConnector):
-    """Connection pool that closes an idle connection on which data has arrived."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=0, keepalive_timeout=IDLE_CONNECTION_TIMEOUT_S)
-        # aiohttp 3.14 creates the protocol of each connection with this private factory.
-        self._factory = partial(TargetProtocol, self, loop=self._loop)
-        # Number of duplicate answers to earlier requests that arrived in place of the expected one.
-        self.skipped_answers = 0
-
-    async def _get(self, key, traces):
-        while (connection := await super()._get(key, traces)) is not None:
-            if not connection.protocol.should_close:
-                return connection
-            connection.close()
-        return None
-
-    async def connect(self, req, traces, timeout):
-        """Return a connection that expects the answer to the request with the id of `req`."""
-        connection = await super().connect(req, traces, timeout)
-        connection.protocol.request_id = read_request_id(req.headers)
-        return connection
-
-
-class TargetProtocol(ResponseHandler):
-    """Connection to a target that may answer a request twice, or reset it within an answer."""
-
-    def __init__(self, connector: TargetConnector, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop=loop)
-        self._connector = connector
-        self.request_id = ""
-
-    async def read(self):
-        """Return the next answer, skipping duplicate answers to earlier requests."""
-        while True:
-            message, payload = await super().read()
-            if not is_for_other_request(message.headers, self.request_id):
-                return message, payload
-            self._connector.skipped_answers += 1
-            await payload.read()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an answer without Content-Length that a connection reset has truncated.
-
-        aiohttp takes any end of the connection for the end of such an answer, even a reset.
-        """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError(f"connection lost before the end of the answer: {exc!r}")
-            )
-        super().connection_lost(exc)
+    def encode(self, target_id: str, time_left_s: float) -> bytes:
+        """Return the bytes of one send; raise ValueError if a value would break its line."""
+        if self._encoded is None:
+            self._encoded = encode_request(self.method, self.path, self.headers, self.body)
+        send_headers = encode_send_headers(target_id, time_left_s)
+        return b"".join((self._encoded, send_headers, b"\r\n", self.body))
 
 
 class Sender:
     """HTTP client for targets; owned by one event loop, and `close` closes its connections."""
 
-    __slots__ = ("_connector", "_session", "_loop", "_last_send_id")
+    __slots__ = ("_pool", "_loop", "_last_send_id")
 
     def __init__(self) -> None:
-        self._connector = TargetConnector()
-        self._session = make_session(
-            connector=self._connector, skip_headers=AIOHTTP_DEFAULT_HEADERS
-        )
+        self._pool = ConnectionPool()
         self._loop = asyncio.get_running_loop()
         self._last_send_id = 0
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        self._pool.close()
+        # Let the loop close the sockets.
+        await asyncio.sleep(0)
 
     @property
     def skipped_answers(self) -> int:
         """Number of duplicate answers to earlier requests that were skipped."""
-        return self._connector.skipped_answers
+        return self._pool.skipped_answers
 
     async def send(
         self, request: OutgoingRequest, target: Target, time_left_s: float, latency_s: float
@@ -213,35 +164,59 @@
         def make_result(outcome: SendOutcome, detail: str = "") -> SendResult:
             return SendResult(outcome, self._loop.time() - started_at, detail=detail)
 
+        address = (entry.host, entry.port)
+        connection = self._pool.take(address)
+        if connection is None:
+            connection = await self._pool.open(address, min(CONNECT_TIMEOUT_S, time_left_s))
+            if isinstance(connection, str):
+                return make_result(SendOutcome.NOT_SENT, connection)
+        # Opening a connection takes time, and the process may have stood still meanwhile.
+        expires_at = started_at + time_left_s
+        time_left_s = expires_at - self._loop.time()
+        if time_left_s < MIN_SEND_TIME_S:
+            connection.close()
+            return make_result(SendOutcome.NOT_SENT, "no time left after opening a connection")
         try:
-            async with self._session.request(
-                request.method,
-                URL(f"http://{entry.host}:{entry.port}{request.path}", encoded=True),
-                headers=make_send_headers(request.headers, entry.id, time_left_s),
-                data=request.body or None,
-                timeout=aiohttp.ClientTimeout(
-                    total=time_left_s, sock_connect=min(CONNECT_TIMEOUT_S, time_left_s)
-                ),
-                allow_redirects=False,
-            ) as answer:
-                body = await answer.content.read(MAX_ANSWER_BYTES + 1)
-                while not answer.content.at_eof() and len(body) <= MAX_ANSWER_BYTES:
-                    body += await answer.content.read(MAX_ANSWER_BYTES + 1 - len(body))
-                if len(body) > MAX_ANSWER_BYTES:
-                    answer.close()
-                    return make_result(SendOutcome.LOST, "answer exceeds 4 MiB; connection closed")
-                status, headers = answer.status, answer.headers
-                kind = classify_response(status, headers, request.id)
-                if kind is ResponseKind.UNVERIFIED:
-                    # Later answers on this connection could not be matched to their requests.
-                    answer.close()
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            encoded = request.encode(entry.id, time_left_s)
+        except ValueError as error:
+            connection.close()
             return make_result(SendOutcome.NOT_SENT, str(error))
-        except TimeoutError:
-            return make_result(SendOutcome.TIMED_OUT)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            return make_result(SendOutcome.LOST, repr(error))
-        match kind:
+        reply = await self._await_reply(connection, encoded, request, expires_at)
+        self._pool.release(address, connection)
+        match reply:
+            case TargetResponse():
+                return self._make_answer(request, reply, connection, started_at)
+            case BrokenExchange(detail=detail):
+                return make_result(SendOutcome.LOST, detail)
+            case ExpiredExchange():
+                return make_result(SendOutcome.TIMED_OUT)
+
+    async def _await_reply(
+        self,
+        connection: TargetConnection,
+        encoded: bytes,
+        request: OutgoingRequest,
+        expires_at: float,
+    ) -> Reply:
+        reply = connection.exchange(encoded, request.id, request.method == "HEAD")
+        timer = self._loop.call_at(expires_at, expire, reply)
+        try:
+            return await reply
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        finally:
+            timer.cancel()
+
+    def _make_answer(
+        self,
+        request: OutgoingRequest,
+        response: TargetResponse,
+        connection: TargetConnection,
+        started_at: float,
+    ) -> SendResult:
+        elapsed_s = self._loop.time() - started_at
+        match classify_response(response.status, response.headers, request.id):
             case ResponseKind.ANSWERED:
                 outcome = SendOutcome.ANSWERED
             case ResponseKind.NOT_RUN:
@@ -251,10 +226,17 @@
             case ResponseKind.FAILED:
                 outcome = SendOutcome.FAILED
             case ResponseKind.UNVERIFIED:
-                return make_result(
-                    SendOutcome.LOST, f"status {status} without a valid signature for this request"
-                )
-        return SendResult(outcome, self._loop.time() - started_at, status, headers, body)
+                # Later answers on this connection could not be matched to their requests.
+                connection.close()
+                detail = f"status {response.status} without a valid signature for this request"
+                return SendResult(SendOutcome.LOST, elapsed_s, detail=detail)
+        return SendResult(outcome, elapsed_s, response.status, response.headers, response.body)
+
+
+def expire(reply: asyncio.Future[Reply]) -> None:
+    """End the wait for a reply at its time limit."""
+    if not reply.done():
+        reply.set_result(ExpiredExchange())
 
 
 def record_result(target: Target, result: SendResult, latency_s: float, now: float) -> None:
--- a/flamingostack/platform/messages.py
+++ b/flamingostack/platform/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -45,6 +46,11 @@
 # Statuses that promise callers that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MISDIRECTED_STATUS = 421
+# Methods whose requests have no body unless they announce one.
+METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD", "OPTIONS", "TRACE", "DELETE"))
+# Announces after how many idle seconds a target closes a connection.
+KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout=(\d{1,6})\b")
+LINE_BREAKING = re.compile(r"[\r\n\0]")
 
 
 class ResponseKind(enum.Enum):
@@ -85,19 +91,47 @@
     )
 
 
-def make_send_headers(
-    headers: CIMultiDict[str], target_id: str, time_left_s: float
-) -> CIMultiDict[str]:
-    """Return the headers of one send, with the id of its target and the current time left."""
-    sent_headers = headers.copy()
-    sent_headers[EXPECTED_TARGET] = target_id
-    sent_headers[TIME_LEFT] = str(max(int(time_left_s * MS_PER_S), 1))
-    return sent_headers
+def encode_request(method: str, path: str, headers: CIMultiDict[str], body: bytes) -> bytes:
+    """Return the part of a request's head that is the same for all sends, without the empty line.
+
+    Raise ValueError if a value would break the line that it is in.
+    """
+    lines = [f"{method} {path} HTTP/1.1"]
+    if "Host" not in headers:
+        lines.append("Host: ")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body or method not in METHODS_WITHOUT_BODY:
+        lines.append(f"Content-Length: {len(body)}")
+    return encode_lines(lines)
+
+
+def encode_send_headers(target_id: str, time_left_s: float) -> bytes:
+    """Return the header lines of one send: the id of its target and the current time left.
+
+    Raise ValueError if the id would break its line.
+    """
+    milliseconds = max(int(time_left_s * MS_PER_S), 1)
+    return encode_lines([f"{EXPECTED_TARGET}: {target_id}", f"{TIME_LEFT}: {milliseconds}"])
+
+
+def encode_lines(lines: list[str]) -> bytes:
+    """Encode header lines; raise ValueError if one holds a line break or NUL."""
+    for line in lines:
+        if LINE_BREAKING.search(line):
+            raise ValueError(f"line break in header line {line!r}")
+    return ("\r\n".join(lines) + "\r\n").encode("utf-8", "surrogateescape")
+
+
+def decode_header(text: bytes) -> str:
+    """Decode the name or value of a header; bytes that are no UTF-8 survive a round trip."""
+    return text.decode("utf-8", "surrogateescape")
 
 
-def is_for_other_request(headers: Mapping[str, str], request_id: str) -> bool:
-    """Return whether a response carries another request's id; one without an id does not."""
-    return headers.get(REQUEST_ID, request_id) != request_id
+def is_for_other_request(
+    headers: Mapping[str, str], request_id: str, is_id_required: bool = False
+) -> bool:
+    """Return whether a response carries another request's id, or none where one is required."""
+    return headers.get(REQUEST_ID, "" if is_id_required else request_id) != request_id
 
 
 def classify_response(status: int, headers: Mapping[str, str], request_id: str) -> ResponseKind:
--- a/flamingostack/store.py
+++ b/flamingostack/store.py
@@ -10,7 +10,6 @@
 import binascii
 import json
 import socket
-from collections.abc import Sequence
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
@@ -262,10 +261,8 @@
         return StoreFailure(StoreReason.OUTCOME_UNKNOWN, f"{url}: {error!r}")
 
 
-def make_session(
-    connector: aiohttp.BaseConnector | None = None, skip_headers: Sequence[str] = ()
-) -> aiohttp.ClientSession:
-    """Return a session that sends each request once, without the headers in `skip_headers`.
+def make_session(connector: aiohttp.BaseConnector | None = None) -> aiohttp.ClientSession:
+    """Return a session that sends each request once.
 
     aiohttp retries PUT and DELETE when the connection breaks before the response. If the first
     request took effect, the precondition of the second one fails, and the write looks like a
@@ -290,7 +287,6 @@
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(send_once,),
-        skip_auto_headers=skip_headers,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
--- /dev/null
+++ b/tests/gateway/test_connection.py
@@ -0,0 +1,323 @@
+"""Tests of flamingostack.gateway.connection and flamingostack.gateway.sender."""
+
+import asyncio
+import resource
+import time
+import unittest
+
+from multidict import CIMultiDict
+
+from flamingostack.gateway.model import TargetEntry
+from flamingostack.gateway.sender import (
+    NOT_RUN_OUTCOMES,
+    OutgoingRequest,
+    Sender,
+    SendOutcome,
+)
+from flamingostack.gateway.targets import Target
+from standins.hostile import (
+    HOST,
+    Close,
+    HostileTarget,
+    Script,
+    Stall,
+    Step,
+    Write,
+    WriteEndlessly,
+    make_answer,
+    make_head,
+    make_misbehaviour,
+)
+
+BODY = bytes(range(256)) * 4
+TIME_LIMIT_S = 1.0
+LATENCY_S = 0.05
+# No peer may hold the loop for longer than 20 ms on half a core, that is 10 ms of processor time.
+MAX_HELD_S = 0.01
+MAX_MEMORY_GROWTH_BYTES = 32 * 1024 * 1024
+FUZZ_SEEDS = range(60)
+STALL_BETWEEN_S = 0.04
+
+
+class HeldTime:
+    """Longest processor time that the process spent between two turns of a task of the loop."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+
+    async def measure(self) -> None:
+        """Measure until cancelled; the target shares the loop, so its turns count as well."""
+        while True:
+            before = time.process_time()
+            await asyncio.sleep(0)
+            self.longest_s = max(self.longest_s, time.process_time() - before)
+
+
+def make_target(port: int) -> Target:
+    """Return a target at a port of this machine."""
+    entry = TargetEntry(
+        id="i-1",
+        service="one",
+        host=HOST,
+        port=port,
+        failure_domain="a",
+        slots=4,
+        is_draining=False,
+        cold_s=0.0,
+        started_ms=0,
+    )
+    return Target(entry, asyncio.get_running_loop().time())
+
+
+def make_request(request_id: str = "r1", method: str = "GET") -> OutgoingRequest:
+    """Return a request without a body."""
+    headers = CIMultiDict({"Host": "search.example", "X-Request-Id": request_id})
+    return OutgoingRequest(request_id, method, "/one/x", headers, b"")
+
+
+class ConnectionCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests that send requests to a hostile target."""
+
+    async def asyncSetUp(self):
+        self.sender = Sender()
+        self.addAsyncCleanup(self.sender.close)
+
+    async def start_target(self, script: Script) -> Target:
+        self.hostile = HostileTarget(script)
+        await self.hostile.start()
+        self.addAsyncCleanup(self.hostile.stop)
+        return make_target(self.hostile.port)
+
+    async def send_to(self, *steps: Step, method: str = "GET"):
+        target = await self.start_target(lambda _: list(steps))
+        return await self.sender.send(make_request(method=method), target, TIME_LIMIT_S, LATENCY_S)
+
+
+class EndlessTest(ConnectionCase):
+    """Guards against a target whose bytes never end.
+
+    They must neither fill the memory, nor hold the loop, nor take the whole time limit.
+    """
+
+    async def check(self, *steps: Step) -> None:
+        held = HeldTime()
+        measuring = asyncio.create_task(held.measure())
+        before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        result = await self.send_to(*steps)
+        measuring.cancel()
+        grown_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
+        self.assertIs(result.outcome, SendOutcome.LOST, result.detail)
+        self.assertLess(grown_kib * 1024, MAX_MEMORY_GROWTH_BYTES)
+        self.assertLess(result.elapsed_s, TIME_LIMIT_S / 2)
+        self.assertLess(held.longest_s, MAX_HELD_S)
+
+    async def test_body_of_an_answer_to_another_request(self):
+        head = make_head("other", "Content-Length: 999999999999")
+        await self.check(Write(head), WriteEndlessly(b"x" * 1000))
+
+    async def test_chunked_body_of_an_answer_to_another_request(self):
+        head = make_head("other", "Transfer-Encoding: chunked")
+        await self.check(Write(head), WriteEndlessly(b"3e8\r\n" + b"x" * 1000 + b"\r\n"))
+
+    async def test_unframed_body_of_an_answer_to_another_request(self):
+        await self.check(Write(make_head("other")), WriteEndlessly(b"x" * 1000))
+
+    async def test_interim_responses(self):
+        await self.check(WriteEndlessly(b"HTTP/1.1 100 Continue\r\n\r\n"))
+
+    async def test_small_answers_to_another_request(self):
+        await self.check(WriteEndlessly(make_answer("other", b"x")))
+
+    async def test_chunk_extension(self):
+        head = make_head("r1", "Transfer-Encoding: chunked")
+        await self.check(Write(head + b"5;name="), WriteEndlessly(b"x"))
+
+    async def test_chunks_of_one_byte(self):
+        head = make_head("r1", "Transfer-Encoding: chunked")
+        await self.check(Write(head), WriteEndlessly(b"1\r\nx\r\n"))
+
+    async def test_trailers(self):
+        head = make_head("r1", "Transfer-Encoding: chunked")
+        await self.check(Write(head + b"0\r\n"), WriteEndlessly(b"a: b\r\n"))
+
+    async def test_body(self):
+        await self.check(Write(make_head("r1")), WriteEndlessly(b"x" * 1000))
+
+    async def test_head(self):
+        for start, block in (
+            (b"", b"H"),
+            (b"", b"\r\n"),
+            (b"HTTP/1.1 200 ", b"x"),
+            (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+            (b"HTTP/1.1 200 OK\r\n", b"a"),
+            (b"HTTP/1.1 200 OK\r\na: ", b"x"),
+        ):
+            with self.subTest(start=start, block=block):
+                await self.check(Write(start), WriteEndlessly(block))
+
+
+class FramingTest(ConnectionCase):
+    """Guards against an incomplete or ambiguous answer that is taken for a whole one."""
+
+    async def check_lost(self, *steps: Step) -> None:
+        result = await self.send_to(*steps)
+        self.assertIs(result.outcome, SendOutcome.LOST, result.detail)
+
+    async def test_head_that_stops_anywhere_and_closes_is_no_answer(self):
+        for head in (make_head("r1"), make_head("r1", "Content-Length: 0")):
+            for size in range(len(head)):
+                with self.subTest(size=size):
+                    await self.check_lost(Write(head[:size]), Close())
+
+    async def test_chunked_body_that_stops_anywhere_and_closes_is_no_answer(self):
+        head = make_head("r1", "Transfer-Encoding: chunked")
+        body = b"5\r\nwhole\r\n0\r\n\r\n"
+        for size in range(len(body)):
+            with self.subTest(size=size):
+                await self.check_lost(Write(head + body[:size]), Close())
+
+    async def test_ambiguous_length_is_no_answer(self):
+        for fields in (
+            ("Content-Length: 2", "Content-Length: 3"),
+            ("Content-Length: 2, 2",),
+            ("Content-Length: -2",),
+            ("Content-Length: +2",),
+            ("Content-Length: 2", "Transfer-Encoding: chunked"),
+            ("Transfer-Encoding: gzip, chunked",),
+            ("Transfer-Encoding: chunked, identity",),
+            ("Transfer-Encoding: identity",),
+        ):
+            with self.subTest(fields=fields):
+                await self.check_lost(Write(make_head("r1", *fields) + b"ok"), Close())
+
+    async def test_lines_that_end_with_a_bare_line_feed_are_no_answer(self):
+        answer = make_answer("r1", b"ok").replace(b"\r\n", b"\n")
+        await self.check_lost(Write(answer), Close())
+
+    async def test_switch_of_protocols_is_no_answer(self):
+        head = make_head("r1", "Upgrade: other", "Connection: upgrade", status="101 Switching")
+        await self.check_lost(Write(head + b"bytes of another protocol"))
+
+    async def test_reset_in_an_answer_without_length_is_no_answer(self):
+        head = make_head("r1")
+        await self.check_lost(Write(head + b"part"), Stall(), Close(is_reset=True))
+
+    async def test_answer_to_head_has_no_body(self):
+        answer = make_head("r1", "Content-Length: 1000")
+        result = await self.send_to(Write(answer), method="HEAD")
+        self.assertEqual((result.outcome, result.body), (SendOutcome.ANSWERED, b""))
+
+    async def test_interim_responses_before_an_answer_are_skipped(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        result = await self.send_to(Write(interim * 2 + make_answer("r1", BODY)))
+        self.assertEqual((result.outcome, result.body), (SendOutcome.ANSWERED, BODY))
+
+    async def test_answer_in_pieces_of_one_byte_is_whole(self):
+        for framing in ("Transfer-Encoding: chunked", "Content-Length: 5"):
+            body = b"5\r\nwhole\r\n0\r\n\r\n" if "chunked" in framing else b"whole"
+            answer = make_head("r1", framing) + body
+            steps = []
+            for at in range(len(answer)):
+                steps += [Write(answer[at : at + 1]), Stall(0.0005)]
+            result = await self.send_to(*steps)
+            self.assertEqual((result.outcome, result.body), (SendOutcome.ANSWERED, b"whole"))
+
+
+class ReuseTest(ConnectionCase):
+    """Guards against an answer that reaches the request that follows on the same connection."""
+
+    async def check(self, script: Script) -> None:
+        target = await self.start_target(script)
+        for number in range(6):
+            request_id = f"r{number}"
+            request = make_request(request_id)
+            result = await self.sender.send(request, target, TIME_LIMIT_S, LATENCY_S)
+            if result.outcome is SendOutcome.ANSWERED:
+                self.assertEqual(result.body, f"body of {request_id}".encode())
+            await asyncio.sleep(STALL_BETWEEN_S * (number % 2))
+
+    async def test_late_second_copy(self):
+        def answer_twice(request_id):
+            answer = make_answer(request_id, f"body of {request_id}".encode())
+            return [Write(answer), Stall(STALL_BETWEEN_S / 2), Write(answer)]
+
+        await self.check(answer_twice)
+
+    async def test_late_second_copy_without_an_id(self):
+        def answer_twice(request_id):
+            answer = make_answer(request_id, f"body of {request_id}".encode())
+            bare = answer.replace(f"X-Request-Id: {request_id}\r\n".encode(), b"")
+            return [Write(answer), Stall(STALL_BETWEEN_S / 2), Write(bare)]
+
+        await self.check(answer_twice)
+
+    async def test_late_refusal_without_an_id_is_no_word_on_the_next_request(self):
+        refusal = (
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+
+        def refuse_late(request_id):
+            answer = make_answer(request_id, b"ok")
+            return [Write(answer), Stall(STALL_BETWEEN_S / 2), Write(refusal)]
+
+        target = await self.start_target(refuse_late)
+        for number in range(6):
+            request = make_request(f"r{number}")
+            result = await self.sender.send(request, target, TIME_LIMIT_S, LATENCY_S)
+            self.assertNotIn(result.outcome, NOT_RUN_OUTCOMES)
+
+    async def test_connection_is_used_again_as_long_as_the_target_allows(self):
+        for fields, connections in (
+            (("Content-Length: 2",), 1),
+            (("Content-Length: 2", "Keep-Alive: timeout=20"), 1),
+            (("Content-Length: 2", "Connection: close"), 4),
+            (("Content-Length: 2", "Keep-Alive: timeout=0"), 4),
+        ):
+            with self.subTest(fields=fields):
+                target = await self.start_target(
+                    lambda request_id, fields=fields: [
+                        Write(make_head(request_id, *fields) + b"ok")
+                    ]
+                )
+                for number in range(4):
+                    request = make_request(f"r{number}")
+                    result = await self.sender.send(request, target, TIME_LIMIT_S, LATENCY_S)
+                    self.assertIs(result.outcome, SendOutcome.ANSWERED)
+                self.assertEqual(self.hostile.connections, connections)
+
+    async def test_connection_with_bytes_after_an_answer_is_not_used_again(self):
+        for surplus in (b"x", b"\0", b"HTTP/1.1 200 OK\r\n", make_answer("r9", b"surplus")):
+            with self.subTest(surplus=surplus):
+                target = await self.start_target(
+                    lambda request_id, surplus=surplus: [
+                        Write(make_answer(request_id, b"ok") + surplus)
+                    ]
+                )
+                for number in range(3):
+                    request = make_request(f"r{number}")
+                    result = await self.sender.send(request, target, TIME_LIMIT_S, LATENCY_S)
+                    self.assertEqual((result.outcome, result.body), (SendOutcome.ANSWERED, b"ok"))
+                self.assertEqual(self.hostile.connections, 3)
+
+    async def test_connection_whose_idle_time_passed_while_the_process_stood_still(self):
+        target = await self.start_target(lambda request_id: [Write(make_answer(request_id, b"ok"))])
+        await self.sender.send(make_request("r1"), target, TIME_LIMIT_S, LATENCY_S)
+        loop = asyncio.get_running_loop()
+        now = loop.time
+        loop.time = lambda: now() + 60
+        await self.sender.send(make_request("r2"), target, TIME_LIMIT_S, LATENCY_S)
+        self.assertEqual(self.hostile.connections, 2)
+
+
+class FuzzTest(ConnectionCase):
+    """Guards against a seeded grammar of misbehaviours: no answer but the true one is returned."""
+
+    async def test_seeds(self):
+        for seed in FUZZ_SEEDS:
+            with self.subTest(seed=seed):
+                target = await self.start_target(make_misbehaviour(seed, BODY))
+                for number in range(3):
+                    request = make_request(f"r{number}")
+                    result = await self.sender.send(request, target, 0.3, LATENCY_S)
+                    if result.outcome is SendOutcome.ANSWERED:
+                        self.assertEqual(result.headers["X-Request-Id"], request.id)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -363,6 +363,7 @@
                 return target.answer(request)
             refused[target.id].add(request.headers["X-Request-Id"])
             headers = {"X-Not-Executed": "1", "X-Server-Load": "0,0,4"}
+            headers["X-Request-Id"] = request.headers["X-Request-Id"]
             return web.Response(status=503, headers=headers)
 
         running = await self.serve_shards([None] * 3 + [shed_first, shed_first])
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -7,8 +7,9 @@
 from flamingostack.platform.messages import (
     ResponseKind,
     classify_response,
+    encode_request,
+    encode_send_headers,
     make_refusal_headers,
-    make_send_headers,
     read_load,
     read_time_left_s,
     select_request_headers,
@@ -61,10 +62,29 @@
         self.assertEqual(
             list(forwarded.items()), [("Host", "h"), ("X-Other", "2"), ("X-Other", "3")]
         )
-        sent = make_send_headers(forwarded, "i-1", 0.25)
-        self.assertEqual(sent["X-Expected-Instance"], "i-1")
-        self.assertEqual(sent["X-Deadline-Milliseconds"], "250")
-        self.assertNotIn("X-Expected-Instance", forwarded)
+        self.assertEqual(
+            encode_request("GET", "/x", forwarded, b"") + encode_send_headers("i-1", 0.25),
+            b"GET /x HTTP/1.1\r\nHost: h\r\nX-Other: 2\r\nX-Other: 3\r\n"
+            b"X-Expected-Instance: i-1\r\nX-Deadline-Milliseconds: 250\r\n",
+        )
+
+    def test_value_that_would_break_its_line_is_not_sent(self):
+        for text in ("a\r\nX-Request-Id: 2", "a\nb", "a\0"):
+            with self.assertRaises(ValueError):
+                encode_send_headers(text, 0.25)
+            with self.assertRaises(ValueError):
+                encode_request("GET", "/x", make_headers(("X-Other", text)), b"")
+
+    def test_body_has_its_length(self):
+        headers = make_headers(("Host", "h"))
+        for method, body, is_announced in (
+            ("GET", b"", False),
+            ("POST", b"", True),
+            ("GET", b"four", True),
+        ):
+            encoded = encode_request(method, "/x", headers, body)
+            line = f"Content-Length: {len(body)}\r\n".encode()
+            self.assertEqual(encoded.endswith(line), is_announced, (method, body))
 
     def test_answer_keeps_the_signature(self):
         returned = select_response_headers(
