Confirm a regained store with a short watch in each feed

Cause: when the store came back, the configuration feed got its answer and woke the other feeds. They saw a recent answer and watched with the full wait of 15 s, and counted as lost until that watch returned. A reader with a lost feed tells its followers nothing, so a whole failure domain watched the store itself for 13 s after each outage.

Ruled out: taking another feed's answer as proof. The store may serve one kind and not another.

Change: the first watch of a feed that has lost the store always waits 0.3 s, which is one more call for each feed and outage.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -33,11 +33,10 @@
 # and the whole kind has to be listed again.
 MAX_WATCH_WAIT_S = 29.0
 WATCH_WAIT_HISTORY_SHARE = 0.75
-# Longest wait of a watch after the loss of the store, until it has answered again. A longer watch
-# sent while the store was silent would hang for its full wait after the store's return.
+# Longest wait of a feed's first watch after the loss of the store. A longer watch sent while the
+# store was silent would hang for its full wait after the store's return, and until the first watch
+# returns the feed counts as lost, also for the instances that follow this one.
 LOST_STORE_WATCH_WAIT_S = 0.3
-# For this long, an answer to any feed counts as proof that the store is back.
-RECENT_ANSWER_S = 1.0
 # While the store is lost, only the configuration feed probes it. Each other feed waits for that
 # feed to get an answer, polls a peer after every interval, and calls the store itself after
 # `LOST_STORE_POLLS` intervals.
@@ -71,7 +70,6 @@
     __slots__ = (
         "now",
         "failed_at",
-        "answered_at",
         "confirmed_at",
         "polled_at",
         "_loss_event",
@@ -84,8 +82,6 @@
         self.now = now
         # When a call of a feed to the store last failed.
         self.failed_at = float("-inf")
-        # When the store last answered a feed.
-        self.answered_at = float("-inf")
         # When the store last confirmed the local state, either to this instance or to the peer
         # that relayed it.
         self.confirmed_at = float("-inf")
@@ -109,7 +105,7 @@
 
     def record_answer(self) -> None:
         """Record that the store has answered, and wake the feeds that wait for an answer."""
-        self.answered_at = self.confirmed_at = self.now()
+        self.confirmed_at = self.now()
         self._answer_event.set()
         self._answer_event = asyncio.Event()
 
@@ -290,10 +286,7 @@
 
     def watch_wait_s(self) -> float:
         """Return for how long the next watch may wait for a change."""
-        if (
-            self.has_lost_store
-            and self.gateway.now() - self.store_status.answered_at > RECENT_ANSWER_S
-        ):
+        if self.has_lost_store:
             return LOST_STORE_WATCH_WAIT_S
         wait_s = min(self.wait_s, self.gateway.settings.store_history_s * WATCH_WAIT_HISTORY_SHARE)
         if self.is_probing_feed and self.store_status.has_followers:
