--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -6,6 +6,7 @@
 import random
 
 from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web_protocol import RequestHandler
 
 from ..entry.shutdown import Phase
@@ -95,6 +96,19 @@
         if self._waiter is not None and not self._waiter.done():
             self.force_close()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Respond to a request that could not be parsed or served, and close its connection."""
+        if isinstance(exc, LineTooLong):
+            status = 431
+        self._manager.gateway.log.warning("request_broken", status=status, detail=repr(exc))
+        return super().handle_error(request, status, exc, message)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the header timer when the connection is lost."""
         self._stop_header_timer()
@@ -125,14 +139,15 @@
     refusal = check_limits(gateway, request)
     if refusal is not None:
         return refuse_request(gateway, request_id, *refusal)
+    if messages.has_ambiguous_id(request.headers):
+        return refuse_request(gateway, request_id, 400, "ambiguous_request_id")
     if gateway.routes is None:
         return refuse_request(gateway, request_id, 503, "no_configuration", NOT_READY_RETRY_AFTER_S)
-    route = gateway.routes.find(request.headers.get("Host", ""), request.raw_path)
+    host, path = messages.split_target(request.raw_path, request.headers.get("Host", ""))
+    route = gateway.routes.find(host, path)
     if route is None:
         version = gateway.routes.configuration.version
-        return refuse_request(
-            gateway, request_id, 404, "no_route", version=version, path=request.raw_path
-        )
+        return refuse_request(gateway, request_id, 404, "no_route", version=version, path=path)
     body = await read_body(gateway, request)
     if body is None:
         return refuse_request(gateway, request_id, 413, "body_too_large")
@@ -141,7 +156,7 @@
     outgoing = OutgoingRequest(
         request_id,
         request.method,
-        request.raw_path,
+        path,
         messages.select_request_headers(request.headers),
         body,
     )
--- a/flamingostack/platform/messages.py
+++ b/flamingostack/platform/messages.py
@@ -41,6 +41,7 @@
         "Content-Length",
     )
 )
+END_TO_END_HEADERS = frozenset(("host", REQUEST_ID.lower()))
 GATEWAY_REQUEST_HEADERS = frozenset(name.lower() for name in (TIME_LEFT, EXPECTED_TARGET))
 MS_PER_S = 1000
 # Statuses that promise callers that the request has not run.
@@ -50,6 +51,7 @@
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD", "OPTIONS", "TRACE", "DELETE"))
 # Announces after how many idle seconds a target closes a connection.
 KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout=(\d{1,6})\b")
+ABSOLUTE_TARGET = re.compile(r"https?://([^/?#]*)([/?].*)?", re.IGNORECASE)
 LINE_BREAKING = re.compile(r"[\r\n\0]")
 
 
@@ -73,6 +75,11 @@
     return headers.get(REQUEST_ID, "")
 
 
+def has_ambiguous_id(headers: CIMultiDictProxy[str]) -> bool:
+    """Return whether a request names more than one id."""
+    return len(headers.getall(REQUEST_ID, ())) > 1
+
+
 def read_time_left_s(headers: Mapping[str, str]) -> float | None:
     """Return how long the caller will wait, in seconds; None if missing or invalid."""
     try:
@@ -82,10 +89,21 @@
     return value / MS_PER_S if 0 <= value < float("inf") else None
 
 
+def split_target(raw_path: str, host: str) -> tuple[str, str]:
+    """Return host and path of a request from its target and its Host header.
+
+    A target in absolute form ("http://host/path") takes precedence over the Host header.
+    """
+    match = ABSOLUTE_TARGET.fullmatch(raw_path)
+    return (match[1], match[2] or "/") if match else (host, raw_path)
+
+
 def select_request_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     """Return the headers of a caller's request that are forwarded to targets."""
     connection_headers = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
     dropped = HOP_BY_HOP_HEADERS | GATEWAY_REQUEST_HEADERS | connection_headers
+    # A caller that lists these as headers of its connection would lose its request's identity.
+    dropped -= END_TO_END_HEADERS
     return CIMultiDict(
         (name, value) for name, value in headers.items() if name.lower() not in dropped
     )
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -1,6 +1,7 @@
 """Tests of flamingostack.gateway.server, with real connections to callers and targets."""
 
 import asyncio
+import contextlib
 import struct
 import unittest
 
@@ -265,6 +266,58 @@
             self.assertEqual(await reader.read(100), b"")
         writer.close()
 
+    async def send_raw(self, port: int, request: bytes) -> bytes:
+        """Send bytes on a new connection; return what arrives until it is closed or 0.5 s pass."""
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(request)
+        answer = b""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.5):
+                while block := await reader.read(1000):
+                    answer += block
+        writer.close()
+        return answer
+
+    async def test_header_field_beyond_the_limit_is_refused_as_too_large(self):
+        running = await self.start_gateway(
+            {"one": [FakeTarget()]}, [make_route("one", service="one")]
+        )
+        head = b"GET /one/x HTTP/1.1\r\nHost: search.example\r\nX-Long: " + b"x" * 20000
+        answer = await self.send_raw(running.port, head + b"\r\n\r\n")
+        self.assertIn(b" 431 ", answer.partition(b"\r\n")[0])
+
+    async def test_target_in_absolute_form_has_a_route(self):
+        target = FakeTarget()
+        running = await self.start_gateway({"one": [target]}, [make_route("one", service="one")])
+        answer = await self.send_raw(
+            running.port,
+            b"GET http://search.example/one/x?q=1 HTTP/1.1\r\nHost: other.example\r\n"
+            b"X-Request-Id: r1\r\n\r\n",
+        )
+        self.assertIn(b" 200 ", answer.partition(b"\r\n")[0])
+        self.assertEqual([r.raw_path for r in target.requests], ["/one/x?q=1"])
+
+    async def test_request_keeps_its_id_and_host_whatever_its_connection_header_lists(self):
+        target = FakeTarget()
+        running = await self.start_gateway({"one": [target]}, [make_route("one", service="one")])
+        headers = {"Connection": "X-Request-Id, Host, X-Private", "X-Private": "1"}
+        self.assertEqual((await running.get("/one/x", headers=headers))[0], 200)
+        (received,) = target.requests
+        self.assertEqual(received.headers["Host"], "search.example")
+        self.assertEqual(received.headers["X-Request-Id"], "r1")
+        self.assertNotIn("X-Private", received.headers)
+
+    async def test_request_with_two_ids_is_refused(self):
+        target = FakeTarget()
+        running = await self.start_gateway({"one": [target]}, [make_route("one", service="one")])
+        answer = await self.send_raw(
+            running.port,
+            b"GET /one/x HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: r1\r\n"
+            b"X-Request-Id: r2\r\n\r\n",
+        )
+        self.assertIn(b" 400 ", answer.partition(b"\r\n")[0])
+        self.assertEqual(target.requests, [])
+
     async def test_smuggled_request_is_not_run(self):
         target = FakeTarget()
         running = await self.start_gateway({"one": [target]}, [make_route("one", service="one")])
