Leave an outage of the store to a few instances of a failure domain

Cause: when both readers of a failure domain had lost the store, each of their followers watched it itself: four watches at once, then about one call a second, then four watches again.

Ruled out: waiting for the readers without trying. A store that turns away only some instances would keep a whole failure domain behind.

Change: a source that has lost the store is skipped after 0.5 s, doubled for each pair that has lost it, so that the next in order try it. Its followers leave the store to their sources while these answer, for 15 s after the last confirmation at most. The first watch of all kinds but the instances waits 1.4 s in place of 0.6 s.

The pause in the feeds' tests follows the new constant.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -50,8 +50,10 @@
 TARGET_WATCH_PAUSE_S = 0.8
 # Instances register at the same time when a fleet starts; their count may lag by this pause.
 INSTANCE_WATCH_PAUSE_S = 1.0
-# Pause before the first watch of a process, to leave time to find peers that relay updates.
-FIRST_WATCH_PAUSE_S = 0.6
+# Pause before the first watch of a process, to leave time to find peers that relay updates. The
+# instances are watched first, since a list that may be stale lacks those that start as well.
+FIRST_INSTANCES_WATCH_PAUSE_S = 0.6
+FIRST_WATCH_PAUSE_S = 1.4
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 # Lower limit for an instance that is not ready: it can't serve until it has the configuration.
@@ -239,7 +241,7 @@
                 failure = StoreFailure(StoreReason.UNAVAILABLE, "unexpected error in the feed")
             if failure is None:
                 backoff_s = INITIAL_BACKOFF_S
-                await asyncio.sleep(max(self.pause_s, FIRST_WATCH_PAUSE_S if is_first else 0.0))
+                await asyncio.sleep(self.first_pause_s if is_first else self.pause_s)
                 is_first = False
                 continue
             if failure.reason is StoreReason.HISTORY_GONE:
@@ -308,6 +310,13 @@
         """Whether this feed detects for all feeds that the store is unavailable or back."""
         return self.kind == objects.CONFIGURATIONS
 
+    @property
+    def first_pause_s(self) -> float:
+        """Pause before the first watch, in seconds."""
+        if self.kind == objects.INSTANCES:
+            return FIRST_INSTANCES_WATCH_PAUSE_S
+        return FIRST_WATCH_PAUSE_S
+
     async def fetch_from_peer(self) -> None:
         """Apply the changes that a random other instance knows, if any."""
         since = -1 if self.revision is None else self.revision
--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 from .feeds import READER_WATCH_WAIT_S, Feed, StoreStatus
-from .readers import choose_sources
+from .readers import READERS_PER_DOMAIN, choose_sources
 from .relay import PEER_TIMEOUT_S, PeerClient, RelayChanges, RelayResponse, decode_changes
 from .state import Gateway
 
@@ -29,13 +29,24 @@
 # How often a skipped source is probed. Not more often, because the entries of instances that are
 # gone for good stay in the store.
 UNREACHABLE_PROBE_INTERVAL_S = 10.0
+# A source that reports for this time that it has lost the store is skipped, so that the next
+# instance in order tries the store. The time doubles with each pair of sources that have lost it:
+# in an outage of the whole store only a few instances try it, while a store that turns away the
+# first readers is found by the next ones.
+LOST_AFTER_S = 0.5
+LOST_PROBE_INTERVAL_S = 2.0
+# While its sources answer, an instance leaves the store to them for this time after the last
+# confirmation of its state.
+MAX_UNCONFIRMED_S = 15.0
 
 
 class Follower:
-    """Polls the sources of this instance, and tells the feeds whether a source is fresh.
+    """Polls the sources of this instance, and tells the feeds whether to leave the store to them.
 
-    While one is fresh, the feeds need not watch the store. Times are in seconds of the event loop's
-    clock.
+    It handles the load pattern of a store that fails for all instances of a large fleet, or that
+    all of them start with at the same time: were each instance to watch it then, the calls would
+    grow with the fleet just when the store can bear least. Times are in seconds of the event
+    loop's clock.
     """
 
     __slots__ = (
@@ -46,6 +57,8 @@
         "answered_at_by_source",
         "fresh_at_by_source",
         "unreachable_until_by_source",
+        "lost_since_by_source",
+        "lost_until_by_source",
         "_tasks_by_source",
         "_probes",
     )
@@ -64,6 +77,10 @@
         self.answered_at_by_source: dict[str, float] = {}
         self.fresh_at_by_source: dict[str, float] = {}
         self.unreachable_until_by_source: dict[str, float] = {}
+        # Since when the present sources report that they have lost the store.
+        self.lost_since_by_source: dict[str, float] = {}
+        # Sources that are skipped because of that, until the next probe.
+        self.lost_until_by_source: dict[str, float] = {}
         self._tasks_by_source: dict[str, asyncio.Task[None]] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
@@ -90,47 +107,63 @@
             for name in self.peers.addresses_by_instance
             if domains_by_instance.get(name) == self.gateway.settings.failure_domain
         }
-        return choose_sources(own, domain_peers | {own}, self.unreachable_until_by_source)
+        skipped = self.unreachable_until_by_source.keys() | self.lost_until_by_source.keys()
+        return choose_sources(own, domain_peers | {own}, skipped)
 
     def start_probes(self) -> None:
         """Probe the skipped sources that are due, to find out whether they are back."""
         now = self.gateway.now()
-        for name, until in self.unreachable_until_by_source.items():
-            if now >= until:
-                self.unreachable_until_by_source[name] = now + UNREACHABLE_PROBE_INTERVAL_S
-                task = asyncio.create_task(self.probe(name))
-                self._probes.add(task)
-                task.add_done_callback(self._probes.discard)
+        for until_by_source, interval_s in (
+            (self.unreachable_until_by_source, UNREACHABLE_PROBE_INTERVAL_S),
+            (self.lost_until_by_source, LOST_PROBE_INTERVAL_S),
+        ):
+            for name, until in until_by_source.items():
+                if now >= until:
+                    until_by_source[name] = now + interval_s
+                    task = asyncio.create_task(self.probe(name))
+                    self._probes.add(task)
+                    task.add_done_callback(self._probes.discard)
 
     async def probe(self, name: str) -> None:
-        """Stop skipping a source if it answers again, or if its entry is gone."""
+        """Stop skipping a source if it is back with the store, or if its entry is gone."""
         address = self.peers.addresses_by_instance.get(name)
         if address is not None:
             kind = next(iter(self.feeds_by_kind))
-            if await self.peers.poll(address, {kind: FUTURE_REVISION}, 0.0) is None:
+            response = await self.peers.poll(address, {kind: FUTURE_REVISION}, 0.0)
+            if response is None:
+                return
+            self.unreachable_until_by_source.pop(name, None)
+            if response.freshness.is_lost:
+                self.lost_until_by_source.setdefault(
+                    name, self.gateway.now() + LOST_PROBE_INTERVAL_S
+                )
                 return
             self.gateway.log.info("source_reachable", source=name)
         self.unreachable_until_by_source.pop(name, None)
+        self.lost_until_by_source.pop(name, None)
 
     def update_tasks(self, sources: list[str]) -> None:
         """Start and stop polling tasks so that exactly these sources are polled."""
         for name in self._tasks_by_source.keys() - set(sources):
             self._tasks_by_source.pop(name).cancel()
             self.fresh_at_by_source.pop(name, None)
+            self.lost_since_by_source.pop(name, None)
         for name in sources:
             if name not in self._tasks_by_source:
                 self.answered_at_by_source[name] = self.gateway.now()
                 self._tasks_by_source[name] = asyncio.create_task(self.poll(name))
 
     def update_store_status(self, sources: list[str]) -> None:
-        """Tell the feeds whether any source is fresh, so that they need not watch the store."""
+        """Tell the feeds whether to leave the store to the sources."""
         now = self.gateway.now()
         ages_by_source = {
             name: round(now - self.fresh_at_by_source[name], 1)
             for name in sources
             if name in self.fresh_at_by_source
         }
-        is_following_peers = any(age < MAX_STALENESS_S for age in ages_by_source.values())
+        is_following_peers = any(
+            age < MAX_STALENESS_S for age in ages_by_source.values()
+        ) or self.is_waiting_for_sources(sources)
         if is_following_peers == self.store_status.is_following_peers:
             return
         self.gateway.log.info(
@@ -140,6 +173,25 @@
         )
         self.store_status.set_following_peers(is_following_peers)
 
+    def is_waiting_for_sources(self, sources: list[str]) -> bool:
+        """Return whether a source answers, so that one of them will soon be fresh."""
+        now = self.gateway.now()
+        has_answer = any(
+            now - self.answered_at_by_source[name] < UNREACHABLE_AFTER_S for name in sources
+        )
+        return has_answer and now - self.store_status.confirmed_at < MAX_UNCONFIRMED_S
+
+    def record_lost(self, name: str) -> None:
+        """Handle a source that has lost the store: skip it if it has done so for too long."""
+        now = self.gateway.now()
+        self.fresh_at_by_source.pop(name, None)
+        lost_s = now - self.lost_since_by_source.setdefault(name, now)
+        lost_pairs = len(self.lost_until_by_source) // READERS_PER_DOMAIN
+        if lost_s < LOST_AFTER_S * 2**lost_pairs:
+            return
+        self.lost_until_by_source[name] = now + LOST_PROBE_INTERVAL_S
+        self.gateway.log.warning("source_lost_store", source=name, lost_s=round(lost_s, 1))
+
     async def poll(self, name: str) -> None:
         """Poll one source until cancelled."""
         while True:
@@ -157,8 +209,10 @@
                 continue
             self.handle_response(name, response)
             if response.freshness.is_lost:
-                self.fresh_at_by_source.pop(name, None)
+                self.record_lost(name)
                 await asyncio.sleep(POLL_RETRY_S)
+            else:
+                self.lost_since_by_source.pop(name, None)
 
     def record_poll_failure(self, name: str) -> None:
         """Handle a failed poll: skip the source if it has not answered for too long."""
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from flamingostack.gateway.feeds import TARGET_WATCH_PAUSE_S
+from flamingostack.gateway.feeds import FIRST_WATCH_PAUSE_S, TARGET_WATCH_PAUSE_S
 
 from .fakes import (
     FakeTarget,
@@ -28,8 +28,8 @@
         return await self.start_gateway({"one": self.targets}, [ROUTE])
 
     async def settle(self):
-        """Wait until the pause after a watch of the targets is over."""
-        await asyncio.sleep(TARGET_WATCH_PAUSE_S + 0.2)
+        """Wait until the pauses before the first watch and after one of the targets are over."""
+        await asyncio.sleep(max(TARGET_WATCH_PAUSE_S, FIRST_WATCH_PAUSE_S) + 0.2)
 
     async def test_older_version_is_never_put_into_force(self):
         running = await self.start()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -24,12 +24,12 @@
 class FollowerTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
     """Guards against store calls that grow with the fleet, and against followers that go stale."""
 
-    async def start_domain(self) -> None:
-        """Start a failure domain of seven instances, each with its own connections to the store."""
+    async def start_domain(self, names: list[str] = NAMES) -> None:
+        """Start a failure domain of instances, each with its own connections to the store."""
         self.target = FakeTarget()
-        first = await self.start_gateway({"one": [self.target]}, [ROUTE], instance=NAMES[0])
-        self.running_by_name = {NAMES[0]: first}
-        for name in NAMES[1:]:
+        first = await self.start_gateway({"one": [self.target]}, [ROUTE], instance=names[0])
+        self.running_by_name = {names[0]: first}
+        for name in names[1:]:
             running = RunningGateway(self.store, instance=name)
             await running.start()
             self.addAsyncCleanup(running.stop)
@@ -37,8 +37,8 @@
         for name, running in self.running_by_name.items():
             entry = {"failure_domain": "a", "address": f"{HOST}:{running.relay_port}"}
             self.store.put("flamingostack-instances", name, entry)
-        self.readers = [name for name in NAMES if not choose_sources(name, NAMES, ())]
-        self.followers = [name for name in NAMES if name not in self.readers]
+        self.readers = [name for name in names if not choose_sources(name, names, ())]
+        self.followers = [name for name in names if name not in self.readers]
         await wait_until(lambda: all(self.is_following_peers(name) for name in self.followers))
         # These changes end the watches that followers sent before they had sources; followers don't
         # send new ones.
@@ -124,6 +124,36 @@
             await asyncio.sleep(0.05)
         self.assertGreater(follower.unreachable_until_by_source[self.readers[0]], 0.0)
 
+    async def test_outage_of_the_store_is_left_to_a_few_instances(self):
+        await self.start_domain([f"front-a-{number}" for number in range(20)])
+        await asyncio.sleep(1.0)
+        self.store.calls.clear()
+        self.store.go_down()
+        await asyncio.sleep(4.0)
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        self.store.is_down = False
+        async with asyncio.timeout(2.5):
+            await wait_until(lambda: set(self.versions().values()) == {20})
+        # At most half of the instances try the store, with four watches at first, then once in a
+        # second, and with four watches after the outage.
+        self.assertLessEqual(len(self.store.calls), 10 * (4 + 4 + 4))
+
+    async def test_store_that_turns_away_the_readers_is_found_by_the_next_instances(self):
+        await self.start_domain()
+        down = FakeObjectStore()
+        await down.start()
+        self.addAsyncCleanup(down.stop)
+        down.is_down = True
+        for name in self.readers:
+            self.running_by_name[name].objects.url = f"{down.url}/-/objects"
+        # The watches in flight return with this version; the next ones are turned away.
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        await wait_until(lambda: set(self.versions().values()) == {20})
+        await asyncio.sleep(0.5)
+        self.store.put("config", "main", make_configuration(21, [ROUTE], ["one"]))
+        async with asyncio.timeout(4.0):
+            await wait_until(lambda: all(self.versions()[name] == 21 for name in self.followers))
+
     async def test_outage_that_readers_have_seen_holds_lapsed_entries_everywhere(self):
         await self.start_domain()
         name = self.followers[0]
