--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -38,9 +38,6 @@
 # fit within the cap as well.
 SOFT_MAX_CONNECTION_SHARE = 0.5
 MAX_CONNECTION_SHARE = 0.7
-# Lower limit of the hard limit. In a large fleet the share of an instance rounds to nothing, while
-# most instances have no request at any moment; those that have some need a connection for each.
-MIN_MAX_CONNECTIONS = 3
 
 
 class TimeLimitEstimator:
@@ -221,7 +218,7 @@
             if service is not None:
                 share = service.max_connections / count
                 target.soft_max_connections = max(int(share * SOFT_MAX_CONNECTION_SHARE), 1)
-                target.max_connections = max(int(share * MAX_CONNECTION_SHARE), MIN_MAX_CONNECTIONS)
+                target.max_connections = max(int(share * MAX_CONNECTION_SHARE), 1)
 
     def cold_sends_per_s(self, service: str) -> int | None:
         """Return the limit of sends per second to a cold target; None if there is no limit."""
