Let the slack of the extra-send budget follow the requests

The slack was divided equally over 195 instances, of which few have callers (73 keep connections).

Ruled out: leases of budget handed out by readers. A frozen holder or a reader that restarts would have to be fenced; here each instance computes its own share and no state has to survive.

Rows of older instances lack the field, which then counts as not known.

Before and after: test_slack_follows_the_requests_of_a_large_fleet_within_the_bound replays 195 instances with a fourfold burst and totals two seconds old: no window passes the bound, and over 1.4 times as many extra sends are made in the 15 s before the burst.

--- a/flamingostack/gateway/budget.py
+++ b/flamingostack/gateway/budget.py
@@ -4,6 +4,10 @@
 be sent again. In each window, the extra sends to a service, over all instances, may reach a share
 of its requests plus a fixed slack. Each instance counts the requests that arrive there and spends
 their share; the slack is divided by the number of instances. No coordination is needed.
+
+In a large fleet most instances get no request in a window, and an equal share of the slack is too
+little for the others just when many targets refuse requests. Where the requests of the failure
+domain are known (`traffic.py`), a part of the slack therefore follows them.
 """
 
 from __future__ import annotations
@@ -13,6 +17,12 @@
 # Usable share of the budget. The remainder allows for sends that are still on their way when a
 # window begins.
 USABLE_BUDGET_SHARE = 0.85
+# Parts of the usable slack that are divided equally, and by requests. All shares together stay
+# below the slack while the requests of a failure domain grow by 1.8 between two reports.
+EQUAL_SLACK_SHARE = 0.35
+TRAFFIC_SLACK_SHARE = 0.45
+# For how long the requests of the failure domain are used after a report.
+MAX_TRAFFIC_AGE_S = 3.0
 
 
 class ServiceBudget:
@@ -45,6 +55,10 @@
         "instance_count",
         "started_at",
         "_budgets_by_service",
+        "_query_times",
+        "_domain_requests",
+        "_domain_instances",
+        "_domain_known_until",
     )
 
     def __init__(self, ratio: float, slack: float, window_s: float, now: float) -> None:
@@ -55,6 +69,26 @@
         self.instance_count = 0
         self.started_at = now
         self._budgets_by_service: dict[str, ServiceBudget] = {}
+        self._query_times: deque[float] = deque()
+        self._domain_requests = 0
+        self._domain_instances = 0
+        self._domain_known_until = now
+
+    def count_query(self, now: float) -> None:
+        """Record a caller's request, whatever the number of its services."""
+        self._query_times.append(now)
+
+    def requests(self, now: float) -> int:
+        """Return the number of callers' requests in the last window."""
+        while self._query_times and self._query_times[0] < now - self.window_s:
+            self._query_times.popleft()
+        return len(self._query_times)
+
+    def set_domain_traffic(self, requests: int, instances: int, now: float) -> None:
+        """Set the requests of the failure domain in the last window, and its instances."""
+        self._domain_requests = requests
+        self._domain_instances = instances
+        self._domain_known_until = now + MAX_TRAFFIC_AGE_S
 
     def count_request(self, service: str, now: float) -> None:
         """Record a caller's request for a service."""
@@ -70,11 +104,21 @@
 
     def allowance(self, service: str, now: float) -> float:
         """Return how many extra sends the current window may hold."""
-        slack = 0.0
-        if self.instance_count and now - self.started_at >= self.window_s:
-            slack = self.slack / self.instance_count
         requests = len(self._budget(service, now).requests)
-        return (self.ratio * requests + slack) * USABLE_BUDGET_SHARE
+        return (self.ratio * requests + self._slack_share(now)) * USABLE_BUDGET_SHARE
+
+    def _slack_share(self, now: float) -> float:
+        if not self.instance_count or now - self.started_at < self.window_s:
+            return 0.0
+        equal = self.slack / self.instance_count
+        if now >= self._domain_known_until:
+            return equal
+        # The floor keeps the first requests after an idle window from taking the whole slack.
+        domain_requests = max(self._domain_requests, self._domain_instances)
+        own_share = min(self.requests(now) / domain_requests, 1.0)
+        return equal * (
+            EQUAL_SLACK_SHARE + TRAFFIC_SLACK_SHARE * self._domain_instances * own_share
+        )
 
     def spent(self, service: str, now: float) -> int:
         """Return the number of extra sends in the last window."""
--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -10,7 +10,15 @@
 
 from .feeds import READER_WATCH_WAIT_S, Feed, StoreStatus
 from .readers import READERS_PER_DOMAIN, choose_sources
-from .relay import PEER_TIMEOUT_S, PeerClient, RelayChanges, RelayResponse, decode_changes
+from .relay import (
+    INSTANCE_PARAMETER,
+    PEER_TIMEOUT_S,
+    REQUESTS_PARAMETER,
+    PeerClient,
+    RelayChanges,
+    RelayResponse,
+    decode_changes,
+)
 from .state import Gateway
 
 # A poll without updates returns after this time, with the freshness of the source.
@@ -92,6 +100,8 @@
                 sources = self.select_sources()
                 self.update_tasks(sources)
                 self.update_store_status(sources)
+                if not sources:
+                    self.apply_domain_requests(self.gateway.domain_requests())
                 await asyncio.sleep(SELECTION_INTERVAL_S)
         finally:
             self.update_tasks([])
@@ -107,6 +117,7 @@
             for name in self.peers.addresses_by_instance
             if domains_by_instance.get(name) == self.gateway.settings.failure_domain
         }
+        self.gateway.traffic.instance_count = len(domain_peers | {own})
         skipped = self.unreachable_until_by_source.keys() | self.lost_until_by_source.keys()
         return choose_sources(own, domain_peers | {own}, skipped)
 
@@ -202,7 +213,9 @@
             address = self.peers.addresses_by_instance.get(name)
             response = None
             if address is not None:
-                response = await self.peers.poll(address, revisions_by_kind, POLL_WAIT_S)
+                response = await self.peers.poll(
+                    address, revisions_by_kind, POLL_WAIT_S, self.make_report()
+                )
             if response is None:
                 self.record_poll_failure(name)
                 await asyncio.sleep(POLL_RETRY_S)
@@ -214,6 +227,20 @@
             else:
                 self.lost_since_by_source.pop(name, None)
 
+    def make_report(self) -> dict[str, str | int]:
+        """Return the parameters with which this instance reports its requests."""
+        return {
+            INSTANCE_PARAMETER: self.gateway.settings.instance,
+            REQUESTS_PARAMETER: self.gateway.budget.requests(self.gateway.now()),
+        }
+
+    def apply_domain_requests(self, requests: int | None) -> None:
+        """Divide the budget by the requests of the failure domain, if they are known."""
+        if requests is not None:
+            self.gateway.budget.set_domain_traffic(
+                requests, self.gateway.traffic.instance_count, self.gateway.now()
+            )
+
     def record_poll_failure(self, name: str) -> None:
         """Handle a failed poll: skip the source if it has not answered for too long."""
         now = self.gateway.now()
@@ -237,6 +264,7 @@
         """Apply the changes in a source's response, and record how fresh the source is."""
         now = self.gateway.now()
         self.answered_at_by_source[name] = now
+        self.apply_domain_requests(response.freshness.domain_requests)
         if response.freshness.failed_age_s is not None:
             self.store_status.failed_at = max(
                 self.store_status.failed_at, now - response.freshness.failed_age_s
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -64,7 +64,7 @@
     server = CallerServer(gateway)
     listener = await listen(server, settings.caller_address)
     await listen(make_readiness_server(gateway), settings.readiness_address)
-    await listen(make_relay_server(feeds_by_kind, store_status), settings.peer_address)
+    await listen(make_relay_server(gateway, feeds_by_kind, store_status), settings.peer_address)
     await listen(make_metrics_server(gateway), (settings.metrics_host, METRICS_PORT))
     log.info("started", address=settings.caller_address, pid=os.getpid())
     await gateway.shutdown.wait_requested()
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -111,6 +111,7 @@
 
     async def run(self) -> None | QueryFailure:
         """Execute the plan; return None once the results can be returned to the caller."""
+        self.gateway.budget.count_query(self.gateway.now())
         for part in self.plan.parts:
             self.gateway.budget.count_request(part.service, self.gateway.now())
         has_free_target = self._check_free_targets()
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -14,6 +14,7 @@
 import zlib
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
+from urllib.parse import urlencode
 
 import msgspec
 from aiohttp import web
@@ -23,13 +24,19 @@
 
 if TYPE_CHECKING:
     from .feeds import Feed, StoreStatus
+    from .state import Gateway
 
 FEEDS_PATH = "/v1/feeds"
+# Parameters with which a follower reports its requests in the last window of the budget.
+INSTANCE_PARAMETER = "instance"
+REQUESTS_PARAMETER = "requests"
 # A round trip between failure domains takes 8 ms. A poll that times out fails.
 PEER_TIMEOUT_S = 0.5
 # Upper limit of the time for which a poll waits for an update, whatever the peer requests.
 MAX_POLL_WAIT_S = 5.0
 MS_PER_S = 1000
+# Longer numbers in a report are ignored.
+MAX_DIGITS = 9
 # A configuration of some hundred routes takes 100 KB, and a reader sends it to twenty followers
 # over a link of 20 Mbit/s. The fastest level already compresses it to a tenth.
 COMPRESSION_LEVEL = 1
@@ -56,12 +63,14 @@
 
     `age_s` is the time since the store last confirmed the state, and `failed_age_s` the time since
     a call to the store last failed; None means never. `is_lost` tells whether any feed of the
-    instance has lost the store.
+    instance has lost the store. `domain_requests` are the requests that the instances of its
+    failure domain got in the last window of the budget; None if not known.
     """
 
     age_s: float | None
     failed_age_s: float | None
     is_lost: bool
+    domain_requests: int | None = None
 
 
 class RelayResponse:
@@ -119,14 +128,18 @@
         await self._session.close()
 
     async def poll(
-        self, address: str, revisions_by_kind: Mapping[str, int], wait_s: float
+        self,
+        address: str,
+        revisions_by_kind: Mapping[str, int],
+        wait_s: float,
+        report: Mapping[str, str | int] | None = None,
     ) -> RelayResponse | None:
         """Return the changes since the revisions from the instance at `address`; None on failure.
 
         Wait for up to `wait_s` for the first change. A revision of -1 requests all objects of the
-        kind.
+        kind. `report` holds further parameters.
         """
-        query = "&".join(f"{kind}={revision}" for kind, revision in revisions_by_kind.items())
+        query = urlencode({**revisions_by_kind, **(report or {})})
         response = await send_request(
             self._session,
             "GET",
@@ -167,7 +180,9 @@
     return StoredRecords(records, changes.revision, changes.is_whole)
 
 
-def make_relay_server(feeds_by_kind: Mapping[str, Feed], store_status: StoreStatus) -> web.Server:
+def make_relay_server(
+    gateway: Gateway, feeds_by_kind: Mapping[str, Feed], store_status: StoreStatus
+) -> web.Server:
     """Return the server that answers the polls of other instances."""
     encoder = ResponseEncoder()
 
@@ -181,14 +196,24 @@
         if request.path != FEEDS_PATH or not wait_ms.isdigit() or not revisions_by_kind:
             return web.Response(status=404)
         store_status.record_poll()
+        record_report(gateway, request.query)
         wait_s = min(int(wait_ms) / MS_PER_S, MAX_POLL_WAIT_S)
         response = await make_response(feeds_by_kind, store_status, revisions_by_kind, wait_s)
+        response.freshness.domain_requests = gateway.domain_requests()
         body = encoder.encode(revisions_by_kind, response)
         return web.Response(body=body, content_type="application/octet-stream")
 
     return web.Server(handle, access_log=None)
 
 
+def record_report(gateway: Gateway, parameters: Mapping[str, str]) -> None:
+    """Record the number of requests that a follower reports, if it does."""
+    instance = parameters.get(INSTANCE_PARAMETER, "")
+    requests = parameters.get(REQUESTS_PARAMETER, "")
+    if instance in gateway.instances and requests.isdecimal() and len(requests) <= MAX_DIGITS:
+        gateway.traffic.record(instance, int(requests), gateway.now())
+
+
 async def make_response(
     feeds_by_kind: Mapping[str, Feed],
     store_status: StoreStatus,
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -17,6 +17,7 @@
 from .placement import ColdShare, compute_cross_domain_rank
 from .routing import RouteTable
 from .sender import Sender
+from .traffic import DomainTraffic
 
 # Default median and slow latency of a part, as shares of the route's latency objective; used until
 # enough latencies are recorded.
@@ -131,6 +132,7 @@
         "shutdown",
         "instances",
         "cold_share",
+        "traffic",
         "stats_by_route",
         "overload_by_service",
         "_round_trip_s",
@@ -162,6 +164,7 @@
         self.shutdown = Shutdown()
         self.instances: set[str] = {settings.instance}
         self.cold_share = ColdShare(0, 1, settings.cold_overshoot, settings.cold_slack)
+        self.traffic = DomainTraffic()
         self.stats_by_route: dict[str, RouteStats] = {}
         self.overload_by_service: dict[str, OverloadLimit] = {}
         self._round_trip_s = DEFAULT_ROUND_TRIP_S
@@ -220,6 +223,11 @@
                 target.soft_max_connections = max(int(share * SOFT_MAX_CONNECTION_SHARE), 1)
                 target.max_connections = max(int(share * MAX_CONNECTION_SHARE), 1)
 
+    def domain_requests(self) -> int | None:
+        """Return the requests of the failure domain in the last window; None if not known."""
+        now = self.now()
+        return self.traffic.total(self.budget.requests(now), now)
+
     def cold_sends_per_s(self, service: str) -> int | None:
         """Return the limit of sends per second to a cold target; None if there is no limit."""
         if self.routes is None:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -188,7 +188,7 @@
         self.follower = Follower(self.gateway, self.feeds_by_kind, self.store_status, self.peers)
         self.tasks = [asyncio.create_task(feed.run()) for feed in self.feeds_by_kind.values()]
         self.tasks.append(asyncio.create_task(self.follower.run()))
-        self.relay_server = make_relay_server(self.feeds_by_kind, self.store_status)
+        self.relay_server = make_relay_server(self.gateway, self.feeds_by_kind, self.store_status)
         self.relay = await listen(self.relay_server, (HOST, 0))
         self.relay_port = self.relay.sockets[0].getsockname()[1]
         self.server = CallerServer(self.gateway)
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -35,6 +35,54 @@
             self.assertLessEqual(spent, RATIO * seen + SLACK)
         self.assertGreater(len(extra_sends), 100)
 
+    def test_slack_follows_the_requests_of_a_large_fleet_within_the_bound(self):
+        # 195 instances in five failure domains, of which 73 have callers. All requests are sent
+        # again, as in a crash of many targets. The rate rises fourfold and falls again; totals
+        # are two seconds old.
+        slack, domains, size, active = 430, 5, 39, 15
+        random.seed(5)
+        fleets_by_kind = {}
+        for kind in ("equal", "by requests"):
+            fleet = [
+                [ExtraSendBudget(RATIO, slack, WINDOW_S, -20.0) for _ in range(size)]
+                for _ in range(domains)
+            ]
+            for budget in (budget for domain in fleet for budget in domain):
+                budget.instance_count = domains * size
+            requests, extra_sends = [], []
+            now, next_report_at, totals = 0.0, 0.0, [0] * domains
+            while now < 40:
+                now += random.expovariate(200 if 15 < now < 25 else 50)
+                if now >= next_report_at:
+                    next_report_at = now + 2.0
+                    totals = [sum(b.requests(now) for b in domain) for domain in fleet]
+                    if kind == "by requests":
+                        for domain, total in zip(fleet, totals, strict=True):
+                            for budget in domain:
+                                budget.set_domain_traffic(total, size, now)
+                budget = fleet[random.randrange(domains)][random.randrange(active)]
+                budget.count_query(now)
+                budget.count_request("s", now)
+                requests.append(now)
+                for _ in range(2):
+                    if budget.try_spend("s", now):
+                        extra_sends.append(now)
+            for start in (step / 4 for step in range(0, 120)):
+                spent = sum(start <= at < start + WINDOW_S for at in extra_sends)
+                seen = sum(start <= at < start + WINDOW_S for at in requests)
+                self.assertLessEqual(spent, RATIO * seen + slack, (kind, start))
+            fleets_by_kind[kind] = sum(at < 15 for at in extra_sends)
+        self.assertGreater(fleets_by_kind["by requests"], 1.4 * fleets_by_kind["equal"])
+
+    def test_requests_that_are_no_longer_reported_do_not_count(self):
+        budget = ExtraSendBudget(RATIO, 430, WINDOW_S, -20.0)
+        budget.instance_count = 195
+        equal = budget.allowance("s", 0.0)
+        budget.count_query(0.0)
+        budget.set_domain_traffic(40, 39, 0.0)
+        self.assertNotEqual(budget.allowance("s", 1.0), equal)
+        self.assertEqual(budget.allowance("s", 4.0), equal)
+
     def test_services_have_budgets_of_their_own(self):
         budget = ExtraSendBudget(RATIO, 0, WINDOW_S, -20.0)
         for _ in range(10):
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -154,6 +154,22 @@
         async with asyncio.timeout(4.0):
             await wait_until(lambda: all(self.versions()[name] == 21 for name in self.followers))
 
+    async def test_all_instances_learn_the_requests_of_their_failure_domain(self):
+        await self.start_domain()
+        for number, name in enumerate(NAMES):
+            for _ in range(number):
+                running = self.running_by_name[name]
+                running.gateway.budget.count_query(running.gateway.now())
+        total = sum(range(len(NAMES)))
+        # A reader does not know the requests of the other one.
+        least = total - max(NAMES.index(name) for name in self.readers)
+        readers = [self.running_by_name[name].gateway for name in self.readers]
+        await wait_until(lambda: all((g.domain_requests() or 0) >= least for g in readers))
+        idle = self.running_by_name[NAMES[0]].gateway.budget
+        busy = self.running_by_name[NAMES[-1]].gateway.budget
+        now = busy.started_at + 11
+        await wait_until(lambda: busy.allowance("one", now) > 2 * idle.allowance("one", now))
+
     async def test_outage_that_readers_have_seen_holds_lapsed_entries_everywhere(self):
         await self.start_domain()
         name = self.followers[0]
