Lose no accepted connection at a planned stop

Connections in the backlog are reset. The stop also closed new connections before their first request could arrive, and kept ones on which a request had arrived but was not read yet. Apart from that, SIGHUP during a start ended the process.

Ruled out: waiting a few steps before the close; the backlog would still be reset.

Change: gateway/listener.py accepts with public calls of the event loop, takes what waits in the backlog when it is closed, and waits for the protocols. A new connection has 0.5 s for its first request, and one with unread bytes is not closed. SIGHUP is ignored until it is handled; the first periodic check of the settings file finds what changed since the start.

--- a/flamingostack/gateway/__main__.py
+++ b/flamingostack/gateway/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 # The imports are most of the time from a start to the first answer. What they allocate stays, so
@@ -10,6 +11,9 @@
 # All addresses of the platform are plain HTTP, but aiohttp loads the certificates of the machine
 # when it is imported, which takes a fifth of the start.
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+# The settings may change during the start, and SIGHUP ends a process that has no handler yet. The
+# first periodic check of the settings file finds the change.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from .main import run  # noqa: E402
 
--- /dev/null
+++ b/flamingostack/gateway/listener.py
@@ -0,0 +1,106 @@
+"""Listening socket for callers that loses no accepted connection when it is closed.
+
+`asyncio.Server.close` drops the connections that it has accepted in the same step of the event
+loop, and resets those that wait in the backlog. Their callers may have sent a request by then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+import structlog
+
+from .model import Address
+
+ACCEPT_BACKLOG = 512
+# Pause after the process or the machine has run out of descriptors or memory.
+ACCEPT_RETRY_S = 0.25
+EXHAUSTED_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Listener:
+    """Accepts connections at one address, each with a protocol of its own."""
+
+    __slots__ = ("_socket", "_make_protocol", "_log", "_loop", "_starts", "_is_closed")
+
+    def __init__(
+        self,
+        listening_socket: socket.socket,
+        make_protocol: Callable[[], asyncio.BaseProtocol],
+        log: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self._socket = listening_socket
+        self._make_protocol = make_protocol
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._starts: set[asyncio.Task[None]] = set()
+        self._is_closed = False
+        self._resume()
+
+    @property
+    def port(self) -> int:
+        """Port on which connections are accepted."""
+        return self._socket.getsockname()[1]
+
+    async def close(self) -> None:
+        """Accept the connections that wait in the backlog, and no more.
+
+        Return once each of them is handled by its protocol. Further calls have no effect.
+        """
+        if self._is_closed:
+            return
+        self._loop.remove_reader(self._socket)
+        self._accept_waiting()
+        self._is_closed = True
+        self._loop.remove_reader(self._socket)
+        self._socket.close()
+        if self._starts:
+            await asyncio.wait(self._starts)
+
+    def _resume(self) -> None:
+        if not self._is_closed:
+            self._loop.add_reader(self._socket, self._accept_waiting)
+
+    def _accept_waiting(self) -> None:
+        for _ in range(ACCEPT_BACKLOG):
+            try:
+                connection, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self._pause(error)
+                return
+            connection.setblocking(False)
+            task = self._loop.create_task(self._start(connection))
+            self._starts.add(task)
+            task.add_done_callback(self._starts.discard)
+
+    def _pause(self, error: OSError) -> None:
+        # Other errors concern only the new connection.
+        if error.errno not in EXHAUSTED_ERRORS:
+            return
+        self._log.error("accept_failed", detail=repr(error), retry_s=ACCEPT_RETRY_S)
+        self._loop.remove_reader(self._socket)
+        self._loop.call_later(ACCEPT_RETRY_S, self._resume)
+
+    async def _start(self, connection: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(self._make_protocol, connection)
+        except Exception as error:
+            # One connection must not leave its socket open, nor the others unserved.
+            connection.close()
+            self._log.error("connection_failed", detail=repr(error))
+
+
+def open_listener(
+    address: Address,
+    make_protocol: Callable[[], asyncio.BaseProtocol],
+    log: structlog.typing.FilteringBoundLogger,
+) -> Listener:
+    """Return a listener that accepts at `address`; raise OSError if the address is not free."""
+    listening_socket = socket.create_server(address, backlog=ACCEPT_BACKLOG)
+    listening_socket.setblocking(False)
+    return Listener(listening_socket, make_protocol, log)
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -20,6 +20,7 @@
 from ..store import StoreFailure
 from .feeds import Feed, StoreStatus, make_feeds
 from .follower import Follower
+from .listener import Listener, open_listener
 from .model import Address, InstanceSettings
 from .relay import PeerClient, make_relay_server
 from .sender import Sender
@@ -27,7 +28,6 @@
 from .state import Gateway
 
 METRICS_PORT = 9464
-ACCEPT_BACKLOG = 512
 # Time to keep serving after reporting not ready: the platform checks readiness once a second, and
 # stops routing callers to an instance after two failed checks.
 DRAIN_NOTICE_S = 2.6
@@ -62,7 +62,7 @@
     tasks.append(asyncio.create_task(register_instance(gateway, store, feeds_by_kind[INSTANCES])))
     tasks.append(asyncio.create_task(watch_settings(gateway, reload_requested)))
     server = CallerServer(gateway)
-    listener = await listen(server, settings.caller_address)
+    listener = open_listener(settings.caller_address, server, log)
     await listen(make_readiness_server(gateway), settings.readiness_address)
     await listen(make_relay_server(gateway, feeds_by_kind, store_status), settings.peer_address)
     await listen(make_metrics_server(gateway), (settings.metrics_host, METRICS_PORT))
@@ -83,7 +83,7 @@
     """Start to accept connections at an address."""
     host, port = address
     loop = asyncio.get_running_loop()
-    return await loop.create_server(server, host, port, backlog=ACCEPT_BACKLOG, reuse_address=True)
+    return await loop.create_server(server, host, port, reuse_address=True)
 
 
 async def register_instance(gateway: Gateway, store: ObjectStore, instances: Feed) -> None:
@@ -108,9 +108,9 @@
 async def watch_settings(gateway: Gateway, reload_requested: asyncio.Event) -> None:
     """Reload the settings at SIGHUP, or when a periodic check finds the file changed.
 
-    The file may change without a signal.
+    The file may change without a signal, and since it was read at the start.
     """
-    text = read_settings_text(os.environ)
+    text = None
     while True:
         is_signalled = False
         try:
@@ -137,11 +137,13 @@
     changed = [
         name for name in settings.__slots__ if getattr(settings, name) != getattr(before, name)
     ]
+    if not changed and not is_signalled:
+        return
     gateway.set_settings(settings)
     gateway.log.info("reloaded", changed=",".join(changed), signalled=is_signalled)
 
 
-async def shut_down(gateway: Gateway, server: CallerServer, listener: asyncio.Server) -> None:
+async def shut_down(gateway: Gateway, server: CallerServer, listener: Listener) -> None:
     """Report not ready, let running requests finish, and close idle connections.
 
     Requests that are still running near the end of the grace period are aborted.
@@ -152,7 +154,7 @@
     began_at = gateway.now()
     await asyncio.sleep(min(DRAIN_NOTICE_S, grace_s / 2))
     gateway.shutdown.phase = Phase.FINISHING
-    listener.close()
+    await listener.close()
     end_at = began_at + grace_s * (1 - EXIT_RESERVE_SHARE)
     while server.connections and gateway.now() < end_at:
         for connection in server.connections:
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import select
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
@@ -31,6 +32,9 @@
 RETRY_AFTER_SPREAD_SHARE = 0.3
 # Retry-After while there is no configuration: nothing is served until the store answers.
 NOT_READY_RETRY_AFTER_S = 0.5
+# For how long a stop waits for the first request of a new connection. It follows the connection
+# by a round trip, but a caller that opens connections in advance may never send one.
+FIRST_REQUEST_WAIT_S = 0.5
 
 STATUS_BY_REASON = {
     QueryReason.NO_TARGET: 503,
@@ -70,15 +74,22 @@
 class CallerConnection(RequestHandler):
     """A connection that is closed if a request header does not arrive within the time limit."""
 
-    __slots__ = ("_header_timer",)
+    __slots__ = ("_header_timer", "_await_request_until")
 
     def __init__(self, manager: CallerServer, **kwargs) -> None:
         super().__init__(manager, **kwargs)
         self._header_timer: asyncio.TimerHandle | None = None
+        self._await_request_until: float | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Expect a first request."""
+        super().connection_made(transport)
+        self._await_request_until = self._manager.gateway.now() + FIRST_REQUEST_WAIT_S
 
     def data_received(self, data: bytes) -> None:
         """Start the header timer with the first bytes; stop it when the header is complete."""
         super().data_received(data)
+        self._await_request_until = None
         if self._messages or self._current_request is not None:
             self._stop_header_timer()
         elif self._header_timer is None:
@@ -88,13 +99,20 @@
             )
 
     def close_if_idle(self) -> None:
-        """Close the connection if it is idle.
+        """Close the connection if it waits for a request and none is on its way.
 
         aiohttp's own `close` leaves some connections open and discards requests that arrive on
         them.
         """
-        if self._waiter is not None and not self._waiter.done():
-            self.force_close()
+        if self._waiter is None or self._waiter.done() or self._expects_request():
+            return
+        self.force_close()
+
+    def _expects_request(self) -> bool:
+        until = self._await_request_until
+        if until is not None and self._manager.gateway.now() < until:
+            return True
+        return has_unread_bytes(self.transport)
 
     def handle_error(
         self,
@@ -120,6 +138,15 @@
             self._header_timer = None
 
 
+def has_unread_bytes(transport: asyncio.BaseTransport | None) -> bool:
+    """Return whether bytes have arrived on a connection that the event loop has not read yet."""
+    if transport is None or transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return any(events == select.POLLIN for _, events in poll.poll(0))
+
+
 async def serve_request(gateway: Gateway, request: web.BaseRequest) -> web.Response:
     """Respond to one request of a caller; close its connection during a shutdown."""
     gateway.shutdown.begin()
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -16,6 +16,7 @@
 from flamingostack.gateway import sender
 from flamingostack.gateway.feeds import StoreStatus, make_feeds
 from flamingostack.gateway.follower import Follower
+from flamingostack.gateway.listener import open_listener
 from flamingostack.gateway.main import listen, shut_down
 from flamingostack.gateway.model import InstanceSettings
 from flamingostack.gateway.relay import PeerClient, make_relay_server
@@ -192,8 +193,8 @@
         self.relay = await listen(self.relay_server, (HOST, 0))
         self.relay_port = self.relay.sockets[0].getsockname()[1]
         self.server = CallerServer(self.gateway)
-        self.listener = await listen(self.server, (HOST, 0))
-        self.port = self.listener.sockets[0].getsockname()[1]
+        self.listener = open_listener((HOST, 0), self.server, log)
+        self.port = self.listener.port
         self.readiness = await listen(make_readiness_server(self.gateway), (HOST, 0))
         self.readiness_port = self.readiness.sockets[0].getsockname()[1]
         self.session = aiohttp.ClientSession(
@@ -214,7 +215,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.listener.close()
+        await self.listener.close()
         self.readiness.close()
         self.relay.close()
         await self.server.shutdown(0.01)
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -85,6 +85,21 @@
         writes = [call for call in self.store.calls if not call.startswith("GET")]
         self.assertEqual(writes, [])
 
+    async def test_sighup_during_the_start_does_not_end_the_process(self):
+        await self.wait_for_event("configuration_applied")
+        self.process.kill()
+        await self.process.wait()
+        await self.reading
+        self.lines.clear()
+        await self.start_process()
+        maps = Path(f"/proc/{self.process.pid}/maps")
+        # The first library with native code is loaded long before the process handles signals.
+        await wait_until(lambda: "site-packages" in maps.read_text())
+        self.write_settings("bounds.gracePeriodS=0.8")
+        self.process.send_signal(signal.SIGHUP)
+        await self.wait_for_event("started")
+        self.assertIsNone(self.process.returncode)
+
     async def test_starts_serves_reloads_and_stops(self):
         await self.wait_for_event("targets_listed")
         await self.wait_for_event("configuration_applied")
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -1,7 +1,10 @@
 """Tests of the gateway's graceful shutdown."""
 
 import asyncio
+import contextlib
+import socket
 import unittest
+from unittest import mock
 
 from aiohttp import ClientError
 
@@ -15,6 +18,24 @@
 )
 
 
+def send_request(client: socket.socket) -> None:
+    """Send a request without giving the event loop a turn."""
+    client.setblocking(True)
+    client.sendall(REQUEST)
+    client.setblocking(False)
+
+
+async def read_statuses(clients: list[socket.socket]) -> list[bytes]:
+    """Return the status line of each response; nothing for a connection that is cut."""
+    loop = asyncio.get_running_loop()
+    lines = []
+    for client in clients:
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(2):
+                lines.append((await loop.sock_recv(client, 1000)).split(b"\r\n")[0])
+    return lines
+
+
 class ShutdownTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
     """Guards against a shutdown that aborts a request, or accepts one and never responds."""
 
@@ -103,3 +124,67 @@
             self.assertEqual(answer.status, 503)
         self.assertEqual((await running.get("/one/x"))[0], 200)
         await ending
+
+
+class AcceptedRequestTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against a planned stop under load that cuts off requests that were just accepted."""
+
+    async def asyncSetUp(self):
+        self.running = await self.start_gateway(
+            {"one": [FakeTarget()]}, [make_route("one", service="one")], shutdown_grace_s=2.0
+        )
+        self.clients: list[socket.socket] = []
+        self.addCleanup(lambda: [client.close() for client in self.clients])
+
+    def connect(self) -> socket.socket:
+        self.clients.append(socket.create_connection((HOST, self.running.port), timeout=2))
+        return self.clients[-1]
+
+    async def stop_after(self, act, steps: int) -> None:
+        """Stop; call `act`, and let `steps` event-loop steps pass before the listener closes."""
+        close = self.running.listener.close
+
+        async def act_and_close():
+            act()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            await close()
+
+        with mock.patch.object(type(self.running.listener), "close", lambda _: act_and_close()):
+            await self.running.shut_down()
+
+    async def test_requests_on_connections_of_the_moment_of_the_stop_are_answered(self):
+        def send_many():
+            for _ in range(10):
+                send_request(self.connect())
+
+        for steps in (0, 1, 2):
+            with self.subTest(steps=steps):
+                await self.asyncSetUp()
+                await self.stop_after(send_many, steps)
+                lines = await read_statuses(self.clients)
+                self.assertEqual(lines, [b"HTTP/1.1 200 OK"] * 10)
+
+    async def test_first_request_may_follow_its_connection_after_the_stop_has_begun(self):
+        async def send_late():
+            await wait_until(lambda: self.running.gateway.shutdown.phase is Phase.FINISHING)
+            await asyncio.sleep(0.1)
+            send_request(self.clients[0])
+            return await read_statuses(self.clients)
+
+        sending = asyncio.create_task(send_late())
+        await self.stop_after(self.connect, 0)
+        self.assertEqual(await sending, [b"HTTP/1.1 200 OK"])
+
+    async def test_request_that_has_arrived_on_a_kept_connection_is_answered(self):
+        client = self.connect()
+        send_request(client)
+        self.assertEqual(await read_statuses([client]), [b"HTTP/1.1 200 OK"])
+        (connection,) = self.running.server.connections
+        await wait_until(lambda: connection._waiter is not None)
+        send_request(client)
+        connection.close_if_idle()
+        self.assertEqual(await read_statuses([client]), [b"HTTP/1.1 200 OK"])
+        await wait_until(lambda: connection._waiter is not None)
+        connection.close_if_idle()
+        self.assertEqual(await read_statuses([client]), [b""])
