--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -51,7 +51,6 @@
             await self.run_seed(seed)
 
     async def test_seed_556576(self):
-        # Open: a request on a persistent connection to a stopping instance ended without a response
-        # more than 0.5 s after it was sent, and the instance's log does not name it. Seen once at a
-        # load average of 15; two runs on a less busy machine had no violations.
+        # A connection that was accepted in the event-loop step in which a stopping instance closed
+        # its listening socket ended without a response.
         await self.run_seed(556576, LONG_RUN_S)
