Share observations of targets in trouble within a failure domain

Cause: an instance of a fleet of 195 gets a third of a request a second, and learnt of each slow, failing or full target by a request of its own.

Ruled out: excluding a target on the word of others, or of one observer; an observer in trouble would condemn healthy targets. Sharing over failure domains: the bytes are charged for, and a domain of 40 instances sees enough.

A follower reports, with each poll, what it has itself observed in the last 2.5 s, in 2,000 bytes at most, the worst first; readers tell all what two or more have seen, by the lower median. A report raises the cost of a target and never excludes it, and an own later observation overrides it. The queue that a target reports with its answers is passed on with its age.

--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -9,9 +9,11 @@
 from collections.abc import Mapping
 
 from .feeds import READER_WATCH_WAIT_S, Feed, StoreStatus
+from .observations import encode_observations
 from .readers import READERS_PER_DOMAIN, choose_sources
 from .relay import (
     INSTANCE_PARAMETER,
+    OBSERVATIONS_PARAMETER,
     PEER_TIMEOUT_S,
     REQUESTS_PARAMETER,
     PeerClient,
@@ -228,11 +230,15 @@
                 self.lost_since_by_source.pop(name, None)
 
     def make_report(self) -> dict[str, str | int]:
-        """Return the parameters with which this instance reports its requests."""
-        return {
+        """Return the parameters with which this instance reports to its sources."""
+        report: dict[str, str | int] = {
             INSTANCE_PARAMETER: self.gateway.settings.instance,
             REQUESTS_PARAMETER: self.gateway.budget.requests(self.gateway.now()),
         }
+        observations = self.gateway.own_observations()
+        if observations:
+            report[OBSERVATIONS_PARAMETER] = encode_observations(observations)
+        return report
 
     def apply_domain_requests(self, requests: int | None) -> None:
         """Divide the budget by the requests of the failure domain, if they are known."""
@@ -265,6 +271,7 @@
         now = self.gateway.now()
         self.answered_at_by_source[name] = now
         self.apply_domain_requests(response.freshness.domain_requests)
+        self.gateway.apply_observations(response.freshness.observations)
         if response.freshness.failed_age_s is not None:
             self.store_status.failed_at = max(
                 self.store_status.failed_at, now - response.freshness.failed_age_s
--- a/flamingostack/gateway/placement.py
+++ b/flamingostack/gateway/placement.py
@@ -137,6 +137,8 @@
     if load is not None:
         slots = load.slots
         busy = max(busy, load.running + load.waiting)
+    else:
+        busy = max(busy, round(slots * target.queue_of_others(now)))
     queued = max(busy + 1 - slots, 0)
     cost_s = service_s * (1 + queued / slots + BUSY_SLOTS_COST_LATENCIES * min(busy, slots) / slots)
     if target.oldest_wait_s(now) > max(
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -21,15 +21,18 @@
 
 from ..store import StoreFailure, make_session, send_request
 from .model import StoredRecord, StoredRecords
+from .observations import Observation, decode_observations
 
 if TYPE_CHECKING:
     from .feeds import Feed, StoreStatus
     from .state import Gateway
 
 FEEDS_PATH = "/v1/feeds"
-# Parameters with which a follower reports its requests in the last window of the budget.
+# Parameters with which a follower reports its requests in the last window of the budget, and what
+# it has observed of targets in trouble.
 INSTANCE_PARAMETER = "instance"
 REQUESTS_PARAMETER = "requests"
+OBSERVATIONS_PARAMETER = "observations"
 # A round trip between failure domains takes 8 ms. A poll that times out fails.
 PEER_TIMEOUT_S = 0.5
 # Upper limit of the time for which a poll waits for an update, whatever the peer requests.
@@ -64,13 +67,15 @@
     `age_s` is the time since the store last confirmed the state, and `failed_age_s` the time since
     a call to the store last failed; None means never. `is_lost` tells whether any feed of the
     instance has lost the store. `domain_requests` are the requests that the instances of its
-    failure domain got in the last window of the budget; None if not known.
+    failure domain got in the last window of the budget; None if not known. `observations` are the
+    targets that several of these instances have seen in trouble.
     """
 
     age_s: float | None
     failed_age_s: float | None
     is_lost: bool
     domain_requests: int | None = None
+    observations: list[Observation] = []
 
 
 class RelayResponse:
@@ -200,6 +205,7 @@
         wait_s = min(int(wait_ms) / MS_PER_S, MAX_POLL_WAIT_S)
         response = await make_response(feeds_by_kind, store_status, revisions_by_kind, wait_s)
         response.freshness.domain_requests = gateway.domain_requests()
+        response.freshness.observations = gateway.merge_observations()
         body = encoder.encode(revisions_by_kind, response)
         return web.Response(body=body, content_type="application/octet-stream")
 
@@ -207,11 +213,15 @@
 
 
 def record_report(gateway: Gateway, parameters: Mapping[str, str]) -> None:
-    """Record the number of requests that a follower reports, if it does."""
+    """Record what a follower reports, if it does: its requests, and targets in trouble."""
     instance = parameters.get(INSTANCE_PARAMETER, "")
+    if instance not in gateway.instances:
+        return
     requests = parameters.get(REQUESTS_PARAMETER, "")
-    if instance in gateway.instances and requests.isdecimal() and len(requests) <= MAX_DIGITS:
+    if requests.isdecimal() and len(requests) <= MAX_DIGITS:
         gateway.traffic.record(instance, int(requests), gateway.now())
+    observations = decode_observations(parameters.get(OBSERVATIONS_PARAMETER, "[]"))
+    gateway.observations.record(instance, observations, gateway.now())
 
 
 async def make_response(
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -14,6 +14,7 @@
 from .directory import Directory
 from .fanout import MIN_HEDGE_LATENCIES
 from .model import Configuration, InstanceSettings, Route
+from .observations import DomainObservations, Observation, apply_merged, collect_own
 from .placement import ColdShare, compute_cross_domain_rank
 from .routing import RouteTable
 from .sender import Sender
@@ -34,6 +35,8 @@
 DEFAULT_ROUND_TRIP_S = 0.006
 ROUND_TRIP_REFRESH_S = 1.0
 MS_PER_S = 1000
+# The observations of up to 200 followers are merged once for all polls within this time.
+MERGE_INTERVAL_S = 0.1
 # Soft and hard limit of the connections of all instances to a target, as shares of its cap. After a
 # power loss of all instances, the target still counts the old connections, and the new ones have to
 # fit within the cap as well.
@@ -133,10 +136,13 @@
         "instances",
         "cold_share",
         "traffic",
+        "observations",
         "stats_by_route",
         "overload_by_service",
         "_round_trip_s",
         "_round_trip_until",
+        "_merged_observations",
+        "_merge_observations_at",
     )
 
     def __init__(
@@ -165,10 +171,13 @@
         self.instances: set[str] = {settings.instance}
         self.cold_share = ColdShare(0, 1, settings.cold_overshoot, settings.cold_slack)
         self.traffic = DomainTraffic()
+        self.observations = DomainObservations()
         self.stats_by_route: dict[str, RouteStats] = {}
         self.overload_by_service: dict[str, OverloadLimit] = {}
         self._round_trip_s = DEFAULT_ROUND_TRIP_S
         self._round_trip_until = 0.0
+        self._merged_observations: list[Observation] = []
+        self._merge_observations_at = 0.0
 
     @property
     def is_ready(self) -> bool:
@@ -228,6 +237,23 @@
         now = self.now()
         return self.traffic.total(self.budget.requests(now), now)
 
+    def own_observations(self) -> list[Observation]:
+        """Return what this instance has observed of targets in trouble."""
+        return collect_own(self.directory.targets_by_id.values(), self.now())
+
+    def merge_observations(self) -> list[Observation]:
+        """Return what the failure domain has observed of targets in trouble, as far as known."""
+        now = self.now()
+        if now >= self._merge_observations_at:
+            self._merge_observations_at = now + MERGE_INTERVAL_S
+            self._merged_observations = self.observations.merge(self.own_observations(), now)
+            self.apply_observations(self._merged_observations)
+        return self._merged_observations
+
+    def apply_observations(self, merged: list[Observation]) -> None:
+        """Use what other instances have observed of targets in trouble."""
+        apply_merged(self.directory.targets_by_id, merged, self.now())
+
     def cold_sends_per_s(self, service: str) -> int | None:
         """Return the limit of sends per second to a cold target; None if there is no limit."""
         if self.routes is None:
--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -23,6 +23,8 @@
 MAX_SLOWDOWN = 20.0
 # A load report is used for as long as a queue of a few requests takes to change.
 LOAD_REPORT_MAX_AGE_S = 0.5
+# A full queue is served within this time, and reports of it take half as long.
+QUEUE_REPORT_MAX_AGE_S = 1.2
 # Backoff after consecutive failures, doubled with each; long enough that a dead target costs few
 # sends.
 FIRST_BACKOFF_S = 0.25
@@ -48,6 +50,12 @@
         "slowdown_at",
         "failure_rate",
         "failure_at",
+        "observed_at",
+        "reported_slowdown",
+        "reported_failure_rate",
+        "reported_at",
+        "reported_queue",
+        "reported_queue_at",
         "consecutive_failures",
         "paused_until",
         "load",
@@ -71,6 +79,15 @@
         self.slowdown_at = now
         self.failure_rate = 0.0
         self.failure_at = now
+        # When this instance last observed an answer, a delay or a failure of its own.
+        self.observed_at = -math.inf
+        # What other instances have observed, and when.
+        self.reported_slowdown = 1.0
+        self.reported_failure_rate = 0.0
+        self.reported_at = -math.inf
+        # Waiting requests for each slot that the target told another instance, and when.
+        self.reported_queue = 0.0
+        self.reported_queue_at = -math.inf
         self.consecutive_failures = 0
         self.paused_until = 0.0
         self.load: TargetLoad | None = None
@@ -116,13 +133,53 @@
             return 0.0
         return now - next(iter(self.start_times_by_send.values()))
 
+    def own_slowdown(self, now: float) -> float:
+        """Return the slowdown expected from this instance's observations, after decay."""
+        return decay_slowdown(self.slowdown, now - self.slowdown_at)
+
+    def own_failure_rate(self, now: float) -> float:
+        """Return the failure rate expected from this instance's observations, after decay."""
+        return self.failure_rate * decay_factor(now - self.failure_at, FAILURE_HALF_LIFE_S)
+
     def current_slowdown(self, now: float) -> float:
-        """Return the expected slowdown after decay."""
-        return 1 + (self.slowdown - 1) * decay_factor(now - self.slowdown_at, SLOWDOWN_HALF_LIFE_S)
+        """Return the expected slowdown; a report counts until an own observation follows."""
+        own = self.own_slowdown(now)
+        if self.reported_at <= self.observed_at:
+            return own
+        return max(own, decay_slowdown(self.reported_slowdown, now - self.reported_at))
 
     def current_failure_rate(self, now: float) -> float:
-        """Return the expected share of failing sends after decay, from 0 to 1."""
-        return self.failure_rate * decay_factor(now - self.failure_at, FAILURE_HALF_LIFE_S)
+        """Return the expected share of failing sends, from 0 to 1; reports count as above."""
+        own = self.own_failure_rate(now)
+        if self.reported_at <= self.observed_at:
+            return own
+        decayed = decay_factor(now - self.reported_at, FAILURE_HALF_LIFE_S)
+        return max(own, self.reported_failure_rate * decayed)
+
+    def queue_of_others(self, now: float) -> float:
+        """Return the waiting requests for each slot that only other instances know of."""
+        is_known = self.load is not None and self.load_at >= self.reported_queue_at
+        is_old = now - self.reported_queue_at >= QUEUE_REPORT_MAX_AGE_S
+        return 0.0 if is_known or is_old else self.reported_queue
+
+    def expected_queue(self, now: float) -> float:
+        """Return the waiting requests for each slot, by the latest report to any instance."""
+        if self.load is None or now - self.load_at >= QUEUE_REPORT_MAX_AGE_S:
+            return self.queue_of_others(now)
+        own = self.load.waiting / max(self.load.slots, 1)
+        return own if self.load_at >= self.reported_queue_at else self.queue_of_others(now)
+
+    def record_queue(self, queue: float, at: float) -> None:
+        """Record the queue that the target told another instance, unless a newer one is known."""
+        if at > self.reported_queue_at:
+            self.reported_queue, self.reported_queue_at = queue, at
+
+    def record_report(self, slowdown: float, failure_rate: float, at: float) -> None:
+        """Record what other instances have observed at a time, unless a newer report is known."""
+        if at > self.reported_at:
+            self.reported_slowdown = slowdown
+            self.reported_failure_rate = failure_rate
+            self.reported_at = at
 
     def current_load(self, now: float) -> TargetLoad | None:
         """Return the reported load; None if there is none or it is too old."""
@@ -131,7 +188,7 @@
     def record_answer(self, slowdown: float, load: TargetLoad | None, now: float) -> None:
         """Record an answer that took `slowdown` times the typical latency."""
         self.record_slowdown(slowdown, now)
-        self.failure_rate = self.current_failure_rate(now) * (1 - FAILURE_WEIGHT)
+        self.failure_rate = self.own_failure_rate(now) * (1 - FAILURE_WEIGHT)
         self.failure_at = now
         self.consecutive_failures = 0
         self.paused_until = 0.0
@@ -141,17 +198,17 @@
 
     def record_slowdown(self, slowdown: float, now: float) -> None:
         """Update the expected slowdown with an observed one."""
-        current = self.current_slowdown(now)
+        current = self.own_slowdown(now)
         decayed_share = 1 - decay_factor(now - self.slowdown_at, SLOWDOWN_WEIGHT_HALF_LIFE_S)
         weight = max(SLOWDOWN_WEIGHT, decayed_share)
         self.slowdown = current + (min(slowdown, MAX_SLOWDOWN) - current) * weight
-        self.slowdown_at = now
+        self.slowdown_at = self.observed_at = now
 
     def record_failure(self, now: float) -> None:
         """Record a send without a usable answer; consecutive failures pause the target."""
-        rate = self.current_failure_rate(now)
+        rate = self.own_failure_rate(now)
         self.failure_rate = rate + (1 - rate) * FAILURE_WEIGHT
-        self.failure_at = now
+        self.failure_at = self.observed_at = now
         self.consecutive_failures += 1
         excess = self.consecutive_failures - MIN_FAILURES_FOR_BACKOFF
         if excess >= 0:
@@ -163,9 +220,9 @@
 
         A target with free slots may accept the next request.
         """
-        rate = self.current_failure_rate(now)
+        rate = self.own_failure_rate(now)
         self.failure_rate = rate + (1 - rate) * FAILURE_WEIGHT
-        self.failure_at = now
+        self.failure_at = self.observed_at = now
         if is_overloaded:
             self.paused_until = max(self.paused_until, now + SHED_BACKOFF_S)
         if load is not None:
@@ -173,6 +230,11 @@
             self.load_at = now
 
 
+def decay_slowdown(slowdown: float, elapsed_s: float) -> float:
+    """Return a slowdown observed `elapsed_s` ago, after decay."""
+    return 1 + (slowdown - 1) * decay_factor(elapsed_s, SLOWDOWN_HALF_LIFE_S)
+
+
 def decay_factor(elapsed_s: float, half_life_s: float) -> float:
     """Return the remaining weight of an observation after `elapsed_s`, from 1 down to 0."""
     return math.exp2(-max(elapsed_s, 0.0) / half_life_s)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -4,6 +4,7 @@
 import unittest
 
 from flamingostack.gateway.follower import MAX_STALENESS_S
+from flamingostack.gateway.model import TargetLoad
 from flamingostack.gateway.readers import choose_sources
 
 from .fakes import (
@@ -170,6 +171,22 @@
         now = busy.started_at + 11
         await wait_until(lambda: busy.allowance("one", now) > 2 * idle.allowance("one", now))
 
+    async def test_all_instances_learn_which_targets_several_have_seen_in_trouble(self):
+        await self.start_domain()
+        observers = [self.running_by_name[name].gateway for name in self.followers[:2]]
+        other = self.running_by_name[self.followers[2]].gateway
+        target = other.directory.targets_by_id[self.target.id]
+
+        def observe():
+            for gateway in observers:
+                observed = gateway.directory.targets_by_id[self.target.id]
+                observed.record_answer(9.0, TargetLoad(4, 12, 4), gateway.now())
+            return target.current_slowdown(other.now()) > 4
+
+        await wait_until(observe)
+        self.assertEqual(target.expected_queue(other.now()), 3.0)
+        self.assertEqual(target.own_slowdown(other.now()), 1.0)
+
     async def test_outage_that_readers_have_seen_holds_lapsed_entries_everywhere(self):
         await self.start_domain()
         name = self.followers[0]
