--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -25,6 +25,8 @@
 
 # A poll without updates returns after this time, with the freshness of the source.
 POLL_WAIT_S = 1.0
+# While targets have queues, which change within half a second, polls return earlier.
+QUEUED_POLL_WAIT_S = 0.4
 # A source is fresh if the store has confirmed its state within the time of a reader's watch, the
 # timeout of a call, and a poll. A reader that has lost the store reports so earlier.
 MAX_STALENESS_S = READER_WATCH_WAIT_S + 1.5 + POLL_WAIT_S
@@ -215,8 +217,9 @@
             address = self.peers.addresses_by_instance.get(name)
             response = None
             if address is not None:
+                wait_s = QUEUED_POLL_WAIT_S if self.gateway.has_queued_targets else POLL_WAIT_S
                 response = await self.peers.poll(
-                    address, revisions_by_kind, POLL_WAIT_S, self.make_report()
+                    address, revisions_by_kind, wait_s, self.make_report()
                 )
             if response is None:
                 self.record_poll_failure(name)
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from ..errors import Failure, Reason
+from .admission import MIN_QUEUE, compute_refused_share
 from .fanout import (
     MIN_SOFT_DEADLINE_MARGIN_S,
     SOFT_DEADLINE_MARGIN_SHARE,
@@ -17,7 +19,7 @@
     Wait,
     compute_hedge_delay_s,
 )
-from .model import Route
+from .model import FanOut, Route
 from .placement import can_accept, choose_target
 from .sender import (
     MIN_SEND_TIME_S,
@@ -119,6 +121,10 @@
             parts = zip(self.plan.parts, has_free_target, strict=True)
             full_services = ",".join(part.service for part, is_free in parts if not is_free)
             return QueryFailure(QueryReason.NO_TARGET, f"no free target: {full_services}", True)
+        refused_share = self._refused_share()
+        if random.random() < refused_share:
+            message = f"queues are long, {refused_share:.2f} of the queries are refused"
+            return QueryFailure(QueryReason.OVERLOADED, message, True)
         try:
             return await self._execute_plan()
         except asyncio.CancelledError:
@@ -163,6 +169,18 @@
             for part in self.plan.parts
         ]
 
+    def _refused_share(self) -> float:
+        """Return which share of such queries should be refused because of long queues."""
+        if not isinstance(self.route.destination, FanOut):
+            return 0.0
+        directory, now = self.gateway.directory, self.gateway.now()
+        queues = [
+            min((t.expected_queue(now) for t in directory.usable_targets(part.service)), default=0)
+            for part in self.plan.parts
+        ]
+        spare_parts = self.gateway.spare_parts.record(self.route.destination, self.route.priority)
+        return compute_refused_share(queues, spare_parts)
+
     def _send(self, part: Part, now: float) -> None:
         gateway = self.gateway
         spent_budget_share = gateway.budget.spent_share(part.service, now)
@@ -181,6 +199,10 @@
             has_untried_targets = any(t not in part.tried_targets for t in targets)
             self.plan.on_blocked(part, has_untried_targets, now)
             return
+        if part.in_flight and target.expected_queue(now) >= MIN_QUEUE:
+            # Behind a queue a hedge is no faster than the send in flight, and lengthens the queue.
+            self.plan.on_blocked(part, True, now)
+            return
         if part.is_next_send_extra:
             share = 1.0 if self.plan.needs_another_send(part, now) else OPTIONAL_SEND_BUDGET_SHARE
             if not gateway.budget.try_spend(part.service, now, share):
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -10,6 +10,7 @@
 from ..entry.overload import OverloadLimit
 from ..entry.shutdown import Shutdown
 from ..metrics import Metrics
+from .admission import MIN_QUEUE, SpareParts
 from .budget import ExtraSendBudget
 from .directory import Directory
 from .fanout import MIN_HEDGE_LATENCIES
@@ -137,6 +138,8 @@
         "cold_share",
         "traffic",
         "observations",
+        "spare_parts",
+        "has_queued_targets",
         "stats_by_route",
         "overload_by_service",
         "_round_trip_s",
@@ -172,6 +175,9 @@
         self.cold_share = ColdShare(0, 1, settings.cold_overshoot, settings.cold_slack)
         self.traffic = DomainTraffic()
         self.observations = DomainObservations()
+        self.spare_parts = SpareParts()
+        # Whether the failure domain knows of targets whose queues matter for admission.
+        self.has_queued_targets = False
         self.stats_by_route: dict[str, RouteStats] = {}
         self.overload_by_service: dict[str, OverloadLimit] = {}
         self._round_trip_s = DEFAULT_ROUND_TRIP_S
@@ -192,6 +198,7 @@
         if self.routes is not None and configuration.version <= self.routes.configuration.version:
             return False
         self.routes = RouteTable(configuration)
+        self.spare_parts = SpareParts()
         kept = {route.name for route in configuration.routes}
         for name in [known for known in self.stats_by_route if known not in kept]:
             del self.stats_by_route[name]
@@ -252,6 +259,7 @@
 
     def apply_observations(self, merged: list[Observation]) -> None:
         """Use what other instances have observed of targets in trouble."""
+        self.has_queued_targets = any(item.queue >= MIN_QUEUE for item in merged)
         apply_merged(self.directory.targets_by_id, merged, self.now())
 
     def cold_sends_per_s(self, service: str) -> int | None:
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -4,9 +4,13 @@
 import contextlib
 import struct
 import unittest
+from unittest import mock
 
 from aiohttp import ClientError, web
 
+from flamingostack.gateway import query
+from flamingostack.gateway.admission import MAX_REFUSED_SHARE, MIN_QUEUE
+
 from .fakes import HOST, FakeTarget, GatewayCase, make_configuration, make_route, wait_until
 
 
@@ -218,6 +222,18 @@
         event = next(event for event in running.events if event["event"] == "extra_send")
         self.assertEqual((event["cause"], event["request_id"]), ("hedge", "r1"))
 
+    async def test_slow_send_is_not_hedged_behind_a_queue(self):
+        slow, busy = FakeTarget(hang), FakeTarget()
+        running = await self.start_gateway(
+            {"one": [slow, busy]},
+            [make_route("one", service="one", timeoutMs=400)],
+            {slow.id: "a", busy.id: "b"},
+        )
+        target = running.gateway.directory.targets_by_id[busy.id]
+        target.record_queue(MIN_QUEUE, running.gateway.now())
+        self.assertEqual((await running.get("/one/x"))[0], 504)
+        self.assertEqual(busy.requests, [])
+
 
 class RefusalTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
     """Guards against valid requests that are refused, and invalid ones that are sent to targets."""
@@ -436,6 +452,21 @@
         answered = [e for e in running.events if e["event"] == "request_answered"]
         self.assertEqual(answered[-1]["detail"], "no free target: s1,s3")
 
+    async def test_queries_are_refused_at_once_while_too_many_shards_have_long_queues(self):
+        async def answer_busily(target, request):
+            response = target.answer(request)
+            response.headers["X-Server-Load"] = "4,20,4"
+            return response
+
+        running = await self.serve_shards([None] * 3 + [answer_busily] * 2)
+        self.assertEqual((await running.get("/all/x"))[0], 200)
+        with mock.patch.object(query.random, "random", lambda: MAX_REFUSED_SHARE - 0.01):
+            status, headers, body = await running.get("/all/x", request_id="r2")
+        self.assertEqual((status, body, "Retry-After" in headers), (503, b"overloaded", True))
+        self.assertEqual([len(target.requests) for target in self.targets], [1] * 5)
+        with mock.patch.object(query.random, "random", lambda: MAX_REFUSED_SHARE):
+            self.assertEqual((await running.get("/all/x", request_id="r3"))[0], 200)
+
     async def test_too_few_parts_are_no_success(self):
         running = await self.serve_shards([None] * 3 + [crash, crash])
         status, headers, _ = await running.get("/all/x")
