--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -19,7 +19,7 @@
 import msgspec
 from aiohttp import web
 
-from ..store import StoreFailure, make_session, send_request
+from ..store import MAX_RESPONSE_BYTES, StoreFailure, make_session, send_request
 from .model import StoredRecord, StoredRecords
 from .observations import Observation, decode_observations
 
@@ -169,11 +169,15 @@
 
 
 def decode_response(body: bytes) -> RelayResponse | None:
-    """Decode a relay response; return None if it is malformed."""
+    """Decode a relay response; return None if it is malformed or too large."""
     header, _, compressed = body.partition(b"\n")
+    decompressor = zlib.decompressobj()
     try:
         freshness = msgspec.json.decode(header, type=RelayFreshness)
-        changes = msgspec.json.decode(zlib.decompress(compressed), type=dict[str, RelayChanges])
+        encoded = decompressor.decompress(compressed, MAX_RESPONSE_BYTES)
+        if not decompressor.eof:
+            return None
+        changes = msgspec.json.decode(encoded, type=dict[str, RelayChanges])
     except (msgspec.DecodeError, zlib.error):
         return None
     return RelayResponse(freshness, changes)
--- a/flamingostack/store.py
+++ b/flamingostack/store.py
@@ -20,6 +20,9 @@
 
 VERSION_HEADER = "Object-Version"
 MAX_VALUE_BYTES = 1024 * 1024
+# Limit of a response, which bounds the memory that a broken store or peer can take. A page of a
+# list holds many objects, and most of them are far below the limit of a value.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 MS_PER_S = 1000
 
 
@@ -252,7 +255,10 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await read_body(response)
+            if body is None:
+                message = f"{url}: response exceeds {MAX_RESPONSE_BYTES} bytes"
+                return StoreFailure(StoreReason.OUTCOME_UNKNOWN, message)
             version = response.headers.get(VERSION_HEADER, "0")
             return Response(response.status, int(version), body)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -261,6 +267,17 @@
         return StoreFailure(StoreReason.OUTCOME_UNKNOWN, f"{url}: {error!r}")
 
 
+async def read_body(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body of a response; None, with the connection closed, if it is too large."""
+    body = bytearray()
+    async for block in response.content.iter_any():
+        body += block
+        if len(body) > MAX_RESPONSE_BYTES:
+            response.close()
+            return None
+    return bytes(body)
+
+
 def make_session(connector: aiohttp.BaseConnector | None = None) -> aiohttp.ClientSession:
     """Return a session that sends each request once.
 
--- a/standins/hostile.py
+++ b/standins/hostile.py
@@ -62,7 +62,8 @@
 class HostileTarget:
     """Accepts connections, and plays a script for each request that it receives.
 
-    `script` maps the id of a request to steps. The port is set once it has started.
+    `script` maps the id of a request to steps; calls to a store or a peer have the id "". The port
+    is set once it has started.
     """
 
     def __init__(self, script: Script) -> None:
@@ -88,7 +89,8 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 head = (await reader.readuntil(REQUEST_END)).decode()
-                request_id = re.search(r"(?i)x-request-id: (\S+)", head).group(1)
+                match = re.search(r"(?i)x-request-id: (\S+)", head)
+                request_id = match[1] if match else ""
                 self.request_ids.append(request_id)
                 for step in self.script(request_id):
                     await self._play(step, writer)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of flamingostack.gateway.relay."""
 
 import unittest
+import zlib
 
 from flamingostack.gateway.relay import (
     RelayChanges,
@@ -10,6 +11,7 @@
     ResponseEncoder,
     decode_response,
 )
+from flamingostack.store import MAX_RESPONSE_BYTES
 
 from .fakes import (
     HOST,
@@ -75,6 +77,13 @@
         for body in (b"", b"{}", good[:-3], good.replace(b"1.0", b"oo"), b"\xff", good[:10]):
             self.assertIsNone(decode_response(body))
 
+    def test_response_that_is_too_large_when_decompressed_is_refused(self):
+        header = ResponseEncoder().encode({}, RelayResponse(RelayFreshness(1.0, None, False), {}))
+        header = header[: header.index(b"\n") + 1]
+        self.assertEqual(decode_response(header + zlib.compress(b"{ }")).changes_by_kind, {})
+        padded = b"{" + b" " * MAX_RESPONSE_BYTES + b"}"
+        self.assertIsNone(decode_response(header + zlib.compress(padded)))
+
     def test_large_answer_is_compressed_and_encoded_anew_when_it_changes(self):
         routes = [make_route(f"r{number}", service="one") for number in range(400)]
         configuration = make_configuration(7, routes, ["one"])
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -3,7 +3,8 @@
 import unittest
 
 from flamingostack.platform.objects import ObjectStore
-from flamingostack.store import StoreFailure, StoreReason
+from flamingostack.store import MAX_RESPONSE_BYTES, StoreFailure, StoreReason
+from standins.hostile import HOST, HostileTarget, Step, Write, WriteEndlessly
 from tests.gateway.fakes import FakeObjectStore
 
 
@@ -50,3 +51,34 @@
         self.assertIsInstance(result, StoreFailure)
         self.assertIs(result.reason, StoreReason.UNAVAILABLE)
         self.assertEqual(len(self.fake.calls), 1)
+
+
+class EndlessTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a store whose responses fill the memory of an instance."""
+
+    async def check_endless(self, head: bytes) -> None:
+        """Check that the call fails after a bounded number of bytes."""
+
+        def script(request_id: str) -> list[Step]:
+            return [Write(head), WriteEndlessly(b"a")]
+
+        hostile = HostileTarget(script)
+        await hostile.start()
+        self.addAsyncCleanup(hostile.stop)
+        store = ObjectStore(f"http://{HOST}:{hostile.port}")
+        self.addAsyncCleanup(store.close)
+        result = await store.list_objects("kind")
+        self.assertIs(result.reason, StoreReason.OUTCOME_UNKNOWN)
+        self.assertLess(hostile.written_bytes, 2 * MAX_RESPONSE_BYTES)
+
+    async def test_body_with_a_length(self):
+        await self.check_endless(b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n")
+
+    async def test_body_that_ends_with_the_connection(self):
+        await self.check_endless(b"HTTP/1.1 200 OK\r\n\r\n")
+
+    async def test_body_of_a_failure(self):
+        await self.check_endless(b"HTTP/1.1 503 Busy\r\n\r\n")
+
+    async def test_head(self):
+        await self.check_endless(b"HTTP/1.1 200 OK\r\nX: ")
