Explain a request to the gateway from its log lines

Cause: `flamingostack explain` asks the processes of the earlier design, which no user runs. On the platform the story of a failed request had to be pieced together by hand, see docs/OPERATIONS.md.

Change: `flamingostack explain ID LOG...` reads logs of any number of instances, plain, gzip or from standard input, line by line. It tells the cause in one sentence, the sends with their outcomes and the budget at that moment, and what the instance knew of these targets, the store and the configuration before.

--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -18,6 +18,13 @@
     Parameter(help="TOML file; - reads standard input.", allow_leading_hyphen=True),
 ]
 
+LogArgument = Annotated[
+    str,
+    Parameter(
+        help="Log of gateways, plain or gzip; - reads standard input.", allow_leading_hyphen=True
+    ),
+]
+
 
 def validate_name(_type: type, value: str | None) -> None:
     """Raise ValueError for a name that is empty, too long or has unprintable characters.
@@ -169,6 +176,7 @@
     """Arguments of `explain`."""
 
     request_id: str
+    logs: tuple[str, ...]
     entries: tuple[str, ...]
     dispatch_status: tuple[str, ...]
     options: Options
@@ -354,7 +362,7 @@
 def explain_request(
     request_id: NameArgument,
     /,
-    *,
+    *logs: LogArgument,
     entry: Annotated[
         tuple[str, ...],
         Parameter(help="Entry process to ask in addition to those of the fleet.", negative=""),
@@ -365,8 +373,11 @@
     ] = (),
     options: Options = DEFAULT_OPTIONS,
 ) -> Command:
-    """Show which targets a request was sent to and why, with retries, hedges and refusals."""
-    return ExplainRequest(request_id, entry, dispatch_status, options)
+    """Show which targets a request was sent to and why, with retries, hedges and refusals.
+
+    With log files of gateways it tells the story of the request from their lines.
+    """
+    return ExplainRequest(request_id, logs, entry, dispatch_status, options)
 
 
 def check_settings(file: FileArgument, /, *, options: Options = DEFAULT_OPTIONS) -> Command:
--- a/flamingostack/core.py
+++ b/flamingostack/core.py
@@ -30,6 +30,7 @@
 )
 from .cli.environment import CommandEnvironment, make_command_environment
 from .cli.fleet import show_status
+from .cli.logs import explain_from_logs
 from .cli.output import Outcome, make_error, write_outcome
 from .cli.presets import check_preset, check_settings, list_presets, show_preset
 from .cli.requests import explain_request, send_query
@@ -93,6 +94,8 @@
     match command:
         case CheckPreset() | CheckSettings():
             return None
+        case ExplainRequest(logs=logs) if logs:
+            return None
         case SendQuery(entry=entry) if entry is not None:
             addresses.append(entry)
             needs_control = False
@@ -130,6 +133,8 @@
             return await show_status(command, client)
         case SendQuery():
             return await send_query(command, client, environment)
+        case ExplainRequest(logs=logs) if logs:
+            return explain_from_logs(command, environment)
         case ExplainRequest():
             return await explain_request(command, client)
 
