Name all that is wrong with a gateway's settings file at once

Cause: a gateway ended at the first missing key or wrong value, so that a file with several took several starts; `settings check` knew only the settings of the earlier design. `explain` showed every target of a service without an answer.

The address of the store must have a port. `explain` keeps to the targets of the request and withdrawn ones, by time.

--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -15,7 +15,7 @@
 
 FileArgument = Annotated[
     str,
-    Parameter(help="TOML file; - reads standard input.", allow_leading_hyphen=True),
+    Parameter(help="File to read; - reads standard input.", allow_leading_hyphen=True),
 ]
 
 LogArgument = Annotated[
@@ -184,9 +184,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckSettings:
-    """Arguments of `settings check`."""
+    """Arguments of `settings check`; the file is a gateway's if `is_gateway`."""
 
     file: str
+    is_gateway: bool
     options: Options
 
 
@@ -380,6 +381,14 @@
     return ExplainRequest(request_id, logs, entry, dispatch_status, options)
 
 
-def check_settings(file: FileArgument, /, *, options: Options = DEFAULT_OPTIONS) -> Command:
+def check_settings(
+    file: FileArgument,
+    /,
+    *,
+    gateway: Annotated[
+        bool, Parameter(help="The file is a gateway's, as the platform writes it.", negative="")
+    ] = False,
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
     """Validate the settings file of an instance."""
-    return CheckSettings(file, options)
+    return CheckSettings(file, gateway, options)
--- a/flamingostack/cli/logs.py
+++ b/flamingostack/cli/logs.py
@@ -24,7 +24,7 @@
 # The gateway writes no longer lines; anything behind is not read as part of an event.
 MAX_LINE_BYTES = 64 * 1024
 PAIR = re.compile(
-    r"(?:^|(?<=\s))(\w+)=('(?:[^'\\]|\\.)*'|\"(?:[^\"\\]|\\.)*\"|\[[^\]]*\]|\{[^}]*\}|[^\s'\"]+)"
+    r"(?:^|(?<=\s))(\w+)=('(?:[^'\\]|\\.)*'|\"(?:[^\"\\]|\\.)*\"|\[[^\]]*\]|\{[^}]*\}|\([^)]*\)|[^\s'\"]+)"
 )
 ANSWER_EVENTS = frozenset({"request_answered", "request_refused", "request_broken"})
 SEND_EVENTS = frozenset({"extra_send", "send_failed"})
@@ -232,19 +232,22 @@
 
 
 def select_knowledge(story: RequestStory) -> list[Event]:
-    """Return what the instance knew of the targets in trouble, and of the store, before."""
-    missing = set(split_names(story.answer.get("missing_services"))) if story.answer else set()
+    """Return what the instance knew before of the store and of the targets concerned, by time.
+
+    These are the targets of the request, and the withdrawn ones of services without an answer.
+    """
+    answer = story.answer or {}
+    missing = set(split_names(answer.get("missing_services")))
     targets = {str(event.get("target")) for event in story.sends}
-    selected = []
-    for subject, event in story.known_by_subject.items():
-        is_target = event["event"] in TARGET_EVENTS
-        if (
-            not is_target
-            or subject.removeprefix("target ") in targets
-            or (event.get("service") in missing)
-        ):
-            selected.append(event)
-    return selected
+    targets |= {item.partition(">")[2] for item in split_names(answer.get("waiting_for"))}
+
+    def is_relevant(event: Event) -> bool:
+        if event["event"] not in TARGET_EVENTS or event.get("target") in targets:
+            return True
+        return bool(event.get("draining")) and event.get("service") in missing
+
+    selected = filter(is_relevant, story.known_by_subject.values())
+    return sorted(selected, key=lambda event: str(event.get("timestamp", "")))
 
 
 def format_story(request_id: str, story: RequestStory) -> list[str]:
--- a/flamingostack/cli/presets.py
+++ b/flamingostack/cli/presets.py
@@ -4,10 +4,12 @@
 
 import msgspec
 
-from ..errors import Failure
+from ..errors import Failure, make_failure
+from ..gateway.model import InstanceSettings
 from ..generated import messages_pb2 as pb
+from ..platform.settings import parse_instance_settings
 from ..presets import parse_preset
-from ..settings import parse_settings
+from ..settings import SettingsReason, parse_settings
 from ..status import ExitStatus
 from .client import ControlClient
 from .definition import CheckPreset, CheckSettings, ShowPreset
@@ -99,7 +101,16 @@
 
 def check_settings(command: CheckSettings, environment: CommandEnvironment) -> Outcome:
     """Validate a settings file."""
-    return _validate_file(command.file, parse_settings, environment)
+    parse = parse_gateway_settings if command.is_gateway else parse_settings
+    return _validate_file(command.file, parse, environment)
+
+
+def parse_gateway_settings(text: bytes, source: str) -> InstanceSettings | Failure[SettingsReason]:
+    """Decode the settings file of a gateway."""
+    try:
+        return parse_instance_settings(text.decode(), source)
+    except UnicodeDecodeError as error:
+        return make_failure(SettingsReason.UNREADABLE, f"{source}: {error}")
 
 
 def _validate_file(file: str, parse, environment: CommandEnvironment) -> Outcome:
@@ -107,5 +118,12 @@
     result = text if isinstance(text, Failure) else parse(text, get_display_name(file))
     if isinstance(result, Failure):
         return make_error(ExitStatus.INVALID_INPUT, result.reason.code, result.message)
-    data = {"file": get_display_name(file), "values": msgspec.to_builtins(result)}
+    data = {"file": get_display_name(file), "values": make_data(result)}
     return Outcome(ExitStatus.SUCCESS, f"{get_display_name(file)}: valid", data)
+
+
+def make_data(values: object) -> object:
+    """Return checked values as JSON values."""
+    if isinstance(values, InstanceSettings):
+        return {name: getattr(values, name) for name in values.__slots__}
+    return msgspec.to_builtins(values)
--- a/flamingostack/platform/settings.py
+++ b/flamingostack/platform/settings.py
@@ -41,57 +41,104 @@
 def parse_instance_settings(text: str, source: str) -> InstanceSettings | Failure[SettingsReason]:
     """Decode the text of a settings file; `source` names the file in error messages.
 
-    Unknown keys are ignored, because the platform may add some at any time.
+    Unknown keys are ignored, because the platform may add some at any time. The message of a
+    failure names all missing keys and all invalid values, with their lines.
     """
-    values_by_key = split_lines(text)
-    try:
-        return decode_instance_settings(values_by_key)
-    except KeyError as error:
-        return make_failure(SettingsReason.INVALID, f"{source}: missing key {error}")
-    except ValueError as error:
-        return make_failure(SettingsReason.INVALID, f"{source}: {error}")
+    reader = SettingsReader(split_lines(text))
+    settings = decode_instance_settings(reader)
+    if reader.problems:
+        return make_failure(SettingsReason.INVALID, f"{source}: {'; '.join(reader.problems)}")
+    return settings
+
 
+def split_lines(text: str) -> dict[str, tuple[int, str]]:
+    """Return line numbers and values by key; the last line of a key counts.
 
-def split_lines(text: str) -> dict[str, str]:
-    """Return the values by key; blank lines and lines without `=` are ignored."""
-    values_by_key = {}
-    for line in text.splitlines():
+    Blank lines and lines without `=` are ignored.
+    """
+    lines_by_key = {}
+    for number, line in enumerate(text.splitlines(), 1):
         key, separator, value = line.partition("=")
         if separator:
-            values_by_key[key.strip()] = value.strip()
-    return values_by_key
+            lines_by_key[key.strip()] = (number, value.strip())
+    return lines_by_key
+
+
+class SettingsReader:
+    """Reads values by key, and collects what is wrong with them; it then returns a substitute."""
+
+    __slots__ = ("lines_by_key", "problems")
+
+    def __init__(self, lines_by_key: Mapping[str, tuple[int, str]]) -> None:
+        self.lines_by_key = lines_by_key
+        self.problems: list[str] = []
+
+    def text(self, key: str) -> str:
+        """Return a value that must be there and not be empty."""
+        _, value = self.lines_by_key.get(key, (0, None))
+        if value is None:
+            self.problems.append(f"missing key {key!r}")
+        elif not value:
+            self._add_problem(key, "is empty")
+        return value or ""
+
+    def number(self, key: str, default: float | None = None) -> float:
+        """Return a number from 0 up; it may lack if there is a default."""
+        if default is not None and key not in self.lines_by_key:
+            return default
+        value = self.text(key)
+        if not value:
+            return 0.0
+        try:
+            number = float(value)
+        except ValueError:
+            self._add_problem(key, f"{value!r} is not a number")
+            return 0.0
+        if not 0 <= number < float("inf"):
+            self._add_problem(key, f"{value} is out of range, it must be finite and at least 0")
+        return number
+
+    def address(self, key: str) -> Address:
+        """Return host and port."""
+        value = self.text(key)
+        return self._parse_address(key, value) if value else ("", 0)
+
+    def first_port_address(self, host_key: str, range_key: str) -> Address:
+        """Return a host with the first port of a range."""
+        host, ports = self.text(host_key), self.text(range_key)
+        if not host or not ports:
+            return "", 0
+        return self._parse_address(range_key, f"{host}:{ports.partition(',')[0]}")
+
+    def _parse_address(self, key: str, text: str) -> Address:
+        try:
+            return parse_address(text)
+        except ValueError as error:
+            self._add_problem(key, str(error))
+            return "", 0
 
+    def _add_problem(self, key: str, problem: str) -> None:
+        self.problems.append(f"line {self.lines_by_key[key][0]}: {key}: {problem}")
 
-def decode_instance_settings(values_by_key: Mapping[str, str]) -> InstanceSettings:
-    """Build the settings; raise KeyError for a missing key, ValueError for an invalid value."""
 
-    def parse_number(key: str) -> float:
-        try:
-            result = float(values_by_key[key])
-        except ValueError:
-            raise ValueError(f"{key}: {values_by_key[key]!r} is not a number") from None
-        if not 0 <= result < float("inf"):
-            raise ValueError(f"{key}: {result} is out of range")
-        return result
-
-    has_history = "platform.historyS" in values_by_key
-    ip_address = values_by_key["ipAddress"]
-    first_port = values_by_key["internalPortRange"].partition(",")[0]
+def decode_instance_settings(reader: SettingsReader) -> InstanceSettings:
+    """Build the settings; they are valid only if the reader has found no problems."""
+    store_host, store_port = reader.address("platform.address")
     return InstanceSettings(
-        instance=values_by_key["nodeName"],
-        failure_domain=values_by_key["zone"],
-        caller_address=parse_address(values_by_key["listen.front"]),
-        readiness_address=parse_address(values_by_key["listen.readiness"]),
-        peer_address=parse_address(f"{ip_address}:{first_port}"),
-        metrics_host=ip_address,
-        store_url=f"http://{values_by_key['platform.address']}",
-        store_history_s=parse_number("platform.historyS") if has_history else DEFAULT_HISTORY_S,
-        shutdown_grace_s=parse_number("bounds.gracePeriodS"),
-        extra_send_ratio=parse_number("bounds.retryBudgetRatio"),
-        extra_send_slack=parse_number("bounds.retryBudgetSlack"),
-        extra_send_window_s=parse_number("bounds.retryWindowS"),
-        cold_overshoot=parse_number("bounds.coldOvershoot"),
-        cold_slack=parse_number("bounds.coldSlack"),
+        instance=reader.text("nodeName"),
+        failure_domain=reader.text("zone"),
+        caller_address=reader.address("listen.front"),
+        readiness_address=reader.address("listen.readiness"),
+        peer_address=reader.first_port_address("ipAddress", "internalPortRange"),
+        metrics_host=reader.text("ipAddress"),
+        store_url=f"http://{store_host}:{store_port}",
+        store_history_s=reader.number("platform.historyS", DEFAULT_HISTORY_S),
+        shutdown_grace_s=reader.number("bounds.gracePeriodS"),
+        extra_send_ratio=reader.number("bounds.retryBudgetRatio"),
+        extra_send_slack=reader.number("bounds.retryBudgetSlack"),
+        extra_send_window_s=reader.number("bounds.retryWindowS"),
+        cold_overshoot=reader.number("bounds.coldOvershoot"),
+        cold_slack=reader.number("bounds.coldSlack"),
     )
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -6,6 +6,7 @@
 from grpclib.const import Status
 
 from flamingostack.status import ExitStatus
+from tests.platform.test_settings import LINES as GATEWAY_SETTINGS
 
 from .fakes import LOOPBACK, PRESET, CommandTest, find_free_port, make_member
 
@@ -98,6 +99,17 @@
             self.assertEqual(result.status, status)
             self.assertIn(part, result.stdout + result.stderr)
             self.assertIn(path, result.stdout + result.stderr)
+        gateway = GATEWAY_SETTINGS.encode()
+        cases = (
+            (gateway, ExitStatus.SUCCESS, "valid"),
+            (gateway.replace(b"=1.5", b"=x"), ExitStatus.INVALID_INPUT, "line 13"),
+            (b"\xff", ExitStatus.INVALID_INPUT, "utf-8"),
+        )
+        for text, status, part in cases:
+            path = self.write_file(text)
+            result = await self.run_command("settings", "check", "--gateway", path, "--json")
+            self.assertEqual(result.status, status, part)
+            self.assertIn(part, result.stdout if status else "valid")
         result = await self.run_command("settings", "check", "/", "--json")
         self.assertEqual(result.status, ExitStatus.INVALID_INPUT)
         self.assertEqual(result.data["code"], "file_unreadable")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -58,6 +58,15 @@
             self.assertIsInstance(result, Failure, new)
             self.assertTrue(result.message.startswith("file: "))
 
+    def test_all_problems_are_named_at_once_with_their_lines(self):
+        text = LINES.replace("zone=luzon-a\n", "").replace("=1.5", "=x").replace(":8227", ":0")
+        result = parse_instance_settings(text, "file")
+        for part in ("missing key 'zone'", "line 12: bounds.coldOvershoot: 'x'", "line 6: listen"):
+            self.assertIn(part, result.message)
+        self.assertEqual(result.message.count("ipAddress"), 0)
+        missing = parse_instance_settings("", "file").message
+        self.assertIn("'ipAddress'", missing)
+
     def test_file_is_named_by_the_variable(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "local.conf"
