Survive unexpected errors of followers, and bound the messages of libraries

An exception in a follower ended its task: a source was never polled again, or the instance neither followed nor watched the store and kept its state for good. A malformed poll raised ValueError (--5, superscript digits, numbers of over 4,300 digits) and got 500. aiohttp writes bytes that are no request with a traceback to standard error, without a bound and blocking.

Integers of a poll have at most 20 digits, otherwise it gets 404. A handler passes the messages of libraries to the bounded log, as library_message and without traceback.

--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -100,18 +100,27 @@
         """Select sources and poll them until cancelled."""
         try:
             while True:
-                self.start_probes()
-                sources = self.select_sources()
-                self.update_tasks(sources)
-                self.update_store_status(sources)
-                if not sources:
-                    self.apply_domain_requests(self.gateway.domain_requests())
+                try:
+                    self.follow_sources()
+                except Exception:
+                    # An instance that neither follows nor watches would stay behind for good.
+                    self.gateway.log.exception("follower_failed")
+                    self.store_status.set_following_peers(False)
                 await asyncio.sleep(SELECTION_INTERVAL_S)
         finally:
             self.update_tasks([])
             for task in self._probes:
                 task.cancel()
 
+    def follow_sources(self) -> None:
+        """Select the sources, and poll exactly these."""
+        self.start_probes()
+        sources = self.select_sources()
+        self.update_tasks(sources)
+        self.update_store_status(sources)
+        if not sources:
+            self.apply_domain_requests(self.gateway.domain_requests())
+
     def select_sources(self) -> list[str]:
         """Return the instances to follow; empty if this instance watches the store."""
         own = self.gateway.settings.instance
@@ -210,27 +219,35 @@
     async def poll(self, name: str) -> None:
         """Poll one source until cancelled."""
         while True:
-            revisions_by_kind = {
-                kind: -1 if feed.revision is None else feed.revision
-                for kind, feed in self.feeds_by_kind.items()
-            }
-            address = self.peers.addresses_by_instance.get(name)
-            response = None
-            if address is not None:
-                wait_s = QUEUED_POLL_WAIT_S if self.gateway.has_queued_targets else POLL_WAIT_S
-                response = await self.peers.poll(
-                    address, revisions_by_kind, wait_s, self.make_report()
-                )
-            if response is None:
+            try:
+                is_usable = await self.poll_once(name)
+            except Exception:
+                self.gateway.log.exception("poll_failed", source=name)
                 self.record_poll_failure(name)
+                is_usable = False
+            if not is_usable:
                 await asyncio.sleep(POLL_RETRY_S)
-                continue
-            self.handle_response(name, response)
-            if response.freshness.is_lost:
-                self.record_lost(name)
-                await asyncio.sleep(POLL_RETRY_S)
-            else:
-                self.lost_since_by_source.pop(name, None)
+
+    async def poll_once(self, name: str) -> bool:
+        """Poll a source and apply its changes; return whether it answered and has the store."""
+        revisions_by_kind = {
+            kind: -1 if feed.revision is None else feed.revision
+            for kind, feed in self.feeds_by_kind.items()
+        }
+        address = self.peers.addresses_by_instance.get(name)
+        response = None
+        if address is not None:
+            wait_s = QUEUED_POLL_WAIT_S if self.gateway.has_queued_targets else POLL_WAIT_S
+            response = await self.peers.poll(address, revisions_by_kind, wait_s, self.make_report())
+        if response is None:
+            self.record_poll_failure(name)
+            return False
+        self.handle_response(name, response)
+        if response.freshness.is_lost:
+            self.record_lost(name)
+            return False
+        self.lost_since_by_source.pop(name, None)
+        return True
 
     def make_report(self) -> dict[str, str | int]:
         """Return the parameters with which this instance reports to its sources."""
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import logging
 import os
 import signal
 import sys
@@ -12,7 +13,7 @@
 
 from ..entry.shutdown import Phase
 from ..errors import Failure
-from ..logs import BoundedStream, configure_logs, make_logger
+from ..logs import BoundedStream, LibraryHandler, configure_logs, make_logger
 from ..metrics import Metrics
 from ..platform.objects import INSTANCES, ObjectStore
 from ..platform.settings import load_instance_settings, read_settings_text
@@ -45,6 +46,7 @@
     """Serve until SIGTERM or SIGINT, then shut down gracefully."""
     loop = asyncio.get_running_loop()
     log = make_logger(settings.instance, settings.failure_domain, "gateway")
+    logging.getLogger().addHandler(LibraryHandler(log))
     sender = Sender()
     gateway = Gateway(settings, log, Metrics(), loop.time, sender)
     gateway.metrics.set_gauge("gateway_skipped_answers", lambda: sender.skipped_answers)
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import random
+import re
 import zlib
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
@@ -38,8 +39,9 @@
 # Upper limit of the time for which a poll waits for an update, whatever the peer requests.
 MAX_POLL_WAIT_S = 5.0
 MS_PER_S = 1000
-# Longer numbers in a report are ignored.
-MAX_DIGITS = 9
+# A larger number of requests in a report is ignored.
+MAX_REPORTED_REQUESTS = 999_999_999
+INTEGER = re.compile(r"-?[0-9]{1,20}")
 # A configuration of some hundred routes takes 100 KB, and a reader sends it to twenty followers
 # over a link of 20 Mbit/s. The fastest level already compresses it to a tenth.
 COMPRESSION_LEVEL = 1
@@ -196,17 +198,17 @@
     encoder = ResponseEncoder()
 
     async def handle(request: web.BaseRequest) -> web.Response:
-        wait_ms = request.query.get("wait_ms", "")
+        wait_ms = parse_integer(request.query.get("wait_ms", ""))
         revisions_by_kind = {
-            kind: int(text)
+            kind: revision
             for kind, text in request.query.items()
-            if kind in feeds_by_kind and text.lstrip("-").isdigit()
+            if kind in feeds_by_kind and (revision := parse_integer(text)) is not None
         }
-        if request.path != FEEDS_PATH or not wait_ms.isdigit() or not revisions_by_kind:
+        if request.path != FEEDS_PATH or wait_ms is None or not revisions_by_kind:
             return web.Response(status=404)
         store_status.record_poll()
         record_report(gateway, request.query)
-        wait_s = min(int(wait_ms) / MS_PER_S, MAX_POLL_WAIT_S)
+        wait_s = min(max(wait_ms, 0) / MS_PER_S, MAX_POLL_WAIT_S)
         response = await make_response(feeds_by_kind, store_status, revisions_by_kind, wait_s)
         response.freshness.domain_requests = gateway.domain_requests()
         response.freshness.observations = gateway.merge_observations()
@@ -216,14 +218,19 @@
     return web.Server(handle, access_log=None)
 
 
+def parse_integer(text: str) -> int | None:
+    """Return an integer of at most 20 digits; None if the text is none."""
+    return int(text) if INTEGER.fullmatch(text) else None
+
+
 def record_report(gateway: Gateway, parameters: Mapping[str, str]) -> None:
     """Record what a follower reports, if it does: its requests, and targets in trouble."""
     instance = parameters.get(INSTANCE_PARAMETER, "")
     if instance not in gateway.instances:
         return
-    requests = parameters.get(REQUESTS_PARAMETER, "")
-    if requests.isdecimal() and len(requests) <= MAX_DIGITS:
-        gateway.traffic.record(instance, int(requests), gateway.now())
+    requests = parse_integer(parameters.get(REQUESTS_PARAMETER, ""))
+    if requests is not None and 0 <= requests <= MAX_REPORTED_REQUESTS:
+        gateway.traffic.record(instance, requests, gateway.now())
     observations = decode_observations(parameters.get(OBSERVATIONS_PARAMETER, "[]"))
     gateway.observations.record(instance, observations, gateway.now())
 
--- a/flamingostack/logs.py
+++ b/flamingostack/logs.py
@@ -95,6 +95,27 @@
             return False
 
 
+class LibraryHandler(logging.Handler):
+    """Passes the messages of libraries to the structured log, which bounds their volume.
+
+    Without a handler Python writes them, with tracebacks, to standard error, which blocks.
+    """
+
+    def __init__(self, log: structlog.typing.FilteringBoundLogger) -> None:
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one message with its error, without a traceback."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._log.warning(
+            "library_message",
+            library=record.name,
+            detail=record.getMessage(),
+            error="" if error is None else repr(error),
+        )
+
+
 def configure_logs(level: str = "info", stream: LogStream | None = None) -> None:
     """Configure structlog to write events of `level` and above to `stream`, or standard error."""
     structlog.configure(
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from flamingostack.gateway.follower import MAX_STALENESS_S
+from flamingostack.gateway.follower import MAX_STALENESS_S, Follower
 from flamingostack.gateway.model import TargetLoad
 from flamingostack.gateway.readers import choose_sources
 
@@ -104,6 +105,21 @@
         async with asyncio.timeout(1.0):
             await wait_until(lambda: all(self.versions()[name] == 21 for name in self.followers))
 
+    async def test_unexpected_errors_end_neither_the_polls_nor_the_selection(self):
+        await self.start_domain()
+        running = self.running_by_name[self.followers[0]]
+        follower = running.follower
+        for name in ("handle_response", "select_sources"):
+            failing = mock.patch.object(Follower, name, side_effect=RuntimeError("unexpected"))
+            with failing as failed:
+                await wait_until(lambda: failed.called)  # noqa: B023
+                await asyncio.sleep(0.05)
+        await wait_until(lambda: follower.store_status.is_following_peers)
+        self.store.put("config", "main", make_configuration(30, [ROUTE], ["one"]))
+        await wait_until(lambda: set(self.versions().values()) == {30})
+        events = {event["event"] for event in running.events}
+        self.assertLessEqual({"poll_failed", "follower_failed"}, events)
+
     async def test_followers_of_dead_readers_watch_the_store(self):
         await self.start_domain()
         for name in self.readers:
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -46,6 +46,7 @@
             cwd=ROOT,
             env=os.environ | {"FLAMINGOSTACK_NODE_FILE": str(self.path)},
             stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
         )
         self.reading = asyncio.create_task(self.read_lines())
 
@@ -100,6 +101,20 @@
         await self.wait_for_event("started")
         self.assertIsNone(self.process.returncode)
 
+    async def test_bytes_that_are_no_request_leave_bounded_log_lines(self):
+        await self.wait_for_event("started")
+        for port in (8226, 8227, 7740, METRICS_PORT):
+            for _ in range(3):
+                reader, writer = await asyncio.open_connection(self.host, port)
+                writer.write(b"GET / HTTP/1.1\r\nHost: \x01\r\n\r\n")
+                await reader.read()
+                writer.close()
+        await self.wait_for_event("library_message")
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.wait()
+        await self.reading
+        self.assertEqual([line for line in self.lines if "event='" not in line], [])
+
     async def test_starts_serves_reloads_and_stops(self):
         await self.wait_for_event("targets_listed")
         await self.wait_for_event("configuration_applied")
