Tell a second copy of a refusal from the word on the same request

A refused request is sent again to the same target within milliseconds, on the same connection and with the same id. A second copy of the first refusal was then taken for the target's word that the second send had not run, while it ran. And requests without an id shared connections, so that one got the second copy of another's answer.

Ruled out: counting a repeated refusal as "may have run". The targets that refuse at random would use up the sends of each part.

Change: a connection remembers its last 16 request ids, and does not serve one of them again, nor a request without an id; a new connection then takes the place of an idle one.

Before and after: two new tests of ReuseTest failed before (the second send counted as shed; "body 1" in place of "body 2") and pass now, 63 passed in test_connection and test_server.

--- a/flamingostack/gateway/connection.py
+++ b/flamingostack/gateway/connection.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 import httptools
@@ -39,6 +40,8 @@
 # Time that a target's announced idle timeout is shortened by, since it counts from the moment at
 # which the target sent its answer, and a request needs time to get there.
 IDLE_MARGIN_S = 0.5
+# Requests that a connection remembers: a refused one is sent again within milliseconds.
+MAX_RECENT_REQUEST_IDS = 16
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -83,6 +86,7 @@
         "idle_timeout_s",
         "idle_since",
         "skipped_answers",
+        "recent_request_ids",
         "_on_lost",
         "_transport",
         "_parser",
@@ -112,6 +116,7 @@
         self.idle_since = 0.0
         # Number of answers to other requests that arrived in place of the awaited one.
         self.skipped_answers = 0
+        self.recent_request_ids: deque[str] = deque(maxlen=MAX_RECENT_REQUEST_IDS)
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -132,6 +137,7 @@
         """
         self._clear_exchange()
         self._request_id = request_id
+        self.recent_request_ids.append(request_id)
         self._is_head_request = is_head_request
         self.is_reusable = False
         reply = self._reply = asyncio.get_running_loop().create_future()
@@ -279,8 +285,10 @@
         future, self._reply = self._reply, None
         is_whole = isinstance(reply, TargetResponse) and self._error is None
         # Without the id, a second copy of this answer could not be told from the next answer.
-        has_id = is_whole and not is_for_other_request(
-            reply.headers, self._request_id, is_id_required=True
+        has_id = (
+            is_whole
+            and self._request_id != ""
+            and not is_for_other_request(reply.headers, self._request_id, is_id_required=True)
         )
         self.is_reusable = (
             has_id
@@ -322,17 +330,27 @@
         self._idle_by_address: dict[Address, dict[TargetConnection, asyncio.TimerHandle]] = {}
         self._open: set[TargetConnection] = set()
 
-    def take(self, address: Address) -> TargetConnection | None:
-        """Return the connection that was used last; None if none is left that may be used."""
+    def take(self, address: Address, request_id: str) -> TargetConnection | None:
+        """Return the connection that was used last; None if none is left that may be used.
+
+        A request without an id, or one that a connection has carried before, needs another: a late
+        second copy of an earlier answer could be taken for the answer to it.
+        """
         idle = self._idle_by_address.get(address, {})
-        while idle:
-            connection, timer = idle.popitem()
-            timer.cancel()
+        for connection in reversed(list(idle)):
+            if not request_id or request_id in connection.recent_request_ids:
+                continue
+            idle.pop(connection).cancel()
             # The timer is late if the process stood still.
             idle_s = self._loop.time() - connection.idle_since
             if connection.is_reusable and idle_s < connection.idle_timeout_s:
                 return connection
             connection.close()
+        if idle:
+            # The new connection takes the place of one that this request can't use.
+            connection, timer = idle.popitem()
+            timer.cancel()
+            connection.close()
         return None
 
     async def open(self, address: Address, timeout_s: float) -> TargetConnection | str:
--- a/flamingostack/gateway/sender.py
+++ b/flamingostack/gateway/sender.py
@@ -165,7 +165,7 @@
             return SendResult(outcome, self._loop.time() - started_at, detail=detail)
 
         address = (entry.host, entry.port)
-        connection = self._pool.take(address)
+        connection = self._pool.take(address, request.id)
         if connection is None:
             connection = await self._pool.open(address, min(CONNECT_TIMEOUT_S, time_left_s))
             if isinstance(connection, str):
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -266,6 +266,38 @@
             result = await self.sender.send(request, target, TIME_LIMIT_S, LATENCY_S)
             self.assertNotIn(result.outcome, NOT_RUN_OUTCOMES)
 
+    async def test_second_copy_of_a_refusal_is_no_word_on_the_same_request_sent_again(self):
+        sends = []
+
+        def refuse_twice_then_run(request_id):
+            sends.append(request_id)
+            if len(sends) > 1:
+                return [Stall(STALL_BETWEEN_S), Write(make_answer(request_id, b"ran"))]
+            fields = ("X-Not-Executed: 1", "Content-Length: 0")
+            refusal = make_head(request_id, *fields, status="503 Service Unavailable")
+            return [Write(refusal), Stall(STALL_BETWEEN_S / 2), Write(refusal)]
+
+        target = await self.start_target(refuse_twice_then_run)
+        outcomes = [
+            (await self.sender.send(make_request("r1"), target, TIME_LIMIT_S, LATENCY_S)).outcome
+            for _ in range(2)
+        ]
+        self.assertEqual(outcomes, [SendOutcome.SHED, SendOutcome.ANSWERED])
+
+    async def test_second_copy_is_no_answer_to_a_request_without_an_id(self):
+        def answer_twice(request_id):
+            body = f"body {len(self.hostile.request_ids)}".encode()
+            answer = make_answer("x", body).replace(b"X-Request-Id: x\r\n", b"")
+            return [Write(answer), Stall(STALL_BETWEEN_S / 2), Write(answer)]
+
+        target = await self.start_target(answer_twice)
+        bodies = []
+        for _ in range(3):
+            request = OutgoingRequest("", "GET", "/one/x", CIMultiDict(), b"")
+            result = await self.sender.send(request, target, TIME_LIMIT_S, LATENCY_S)
+            bodies.append(result.body)
+        self.assertEqual(bodies, [b"body 1", b"body 2", b"body 3"])
+
     async def test_connection_is_used_again_as_long_as_the_target_allows(self):
         for fields, connections in (
             (("Content-Length: 2",), 1),
