Bound the time for which a request's body may take to arrive

Cause: a caller that sent a head and then nothing was waited for without end: the header timer had been stopped, and the time limits count from the sends on. At a planned stop such a request was running until the grace period was over.

Change: a body has to arrive within the caller's time limit and the route's timeout; then 408, which says that the request has not run, and the connection is closed.

--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -176,11 +176,15 @@
     if route is None:
         version = gateway.routes.configuration.version
         return refuse_request(gateway, request_id, 404, "no_route", version=version, path=path)
-    body = await read_body(gateway, request)
-    if body is None:
-        return refuse_request(gateway, request_id, 413, "body_too_large")
     time_left_s = messages.read_time_left_s(request.headers)
     caller = Caller(arrived_at, route.timeout_s if time_left_s is None else time_left_s)
+    try:
+        async with asyncio.timeout_at(arrived_at + min(caller.time_left_s, route.timeout_s)):
+            body = await read_body(gateway, request)
+    except TimeoutError:
+        return refuse_request(gateway, request_id, 408, "body_timeout")
+    if body is None:
+        return refuse_request(gateway, request_id, 413, "body_too_large")
     outgoing = OutgoingRequest(
         request_id,
         request.method,
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -294,6 +294,21 @@
         writer.close()
         return answer
 
+    async def test_body_that_does_not_arrive_ends_with_the_time_limit_of_its_route(self):
+        running = await self.start_gateway(
+            {"one": [FakeTarget()]}, [make_route("one", service="one", timeoutMs=300)]
+        )
+        for framing in (b"Content-Length: 5", b"Transfer-Encoding: chunked"):
+            reader, writer = await asyncio.open_connection(HOST, running.port)
+            writer.write(
+                b"POST /one/x HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: r1\r\n"
+                + framing
+                + b"\r\n\r\n1"
+            )
+            async with asyncio.timeout(3):
+                self.assertEqual((await reader.read())[:12], b"HTTP/1.1 408")
+            writer.close()
+
     async def test_header_field_beyond_the_limit_is_refused_as_too_large(self):
         running = await self.start_gateway(
             {"one": [FakeTarget()]}, [make_route("one", service="one")]
