--- a/flamingostack/cli/logs.py
+++ b/flamingostack/cli/logs.py
@@ -9,6 +9,7 @@
 import ast
 import gzip
 import re
+import zlib
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import BinaryIO
@@ -38,6 +39,9 @@
     | SOURCE_EVENTS
     | {"started", "stopping", "configuration_applied", "evacuations_changed"}
 )
+SEND_HEADER = ("TIME", "EVENT", "SERVICE", "TARGET", "DETAIL")
+# Keys of an event that its line of the story shows elsewhere, or that all events share.
+HIDDEN_KEYS = frozenset({"event", "timestamp", "level", "instance", "failure_domain", "process"})
 EVENT_HINTS = tuple(event.encode() for event in KNOWLEDGE_EVENTS)
 
 Event = Mapping[str, object]
@@ -89,7 +93,7 @@
         try:
             with lines:
                 collect_stories(command.request_id, lines, stories_by_instance)
-        except (OSError, EOFError, gzip.zlib.error) as error:
+        except (OSError, EOFError, zlib.error) as error:
             message = f"{get_display_name(file)}: {error}"
             return make_error(ExitStatus.INVALID_INPUT, FileReason.UNREADABLE.code, message)
     if not stories_by_instance:
@@ -295,9 +299,6 @@
     return [f"  finished sends: {text}"]
 
 
-SEND_HEADER = ("TIME", "EVENT", "SERVICE", "TARGET", "DETAIL")
-
-
 def list_sends(story: RequestStory) -> list[tuple[str, ...]]:
     """Return the rows of the table of sends."""
     rows = []
@@ -318,9 +319,6 @@
     return rows
 
 
-HIDDEN_KEYS = frozenset({"event", "timestamp", "level", "instance", "failure_domain", "process"})
-
-
 def format_event(event: Event) -> str:
     """Return an event on one line, without what the story tells already."""
     pairs = ", ".join(f"{key} {value}" for key, value in event.items() if key not in HIDDEN_KEYS)
