Name the queue of a report apart from that of admission

Cause: observations.py and admission.py both had a MIN_QUEUE, 1 and 2 waiting requests for each slot.

Before and after: a rename; 17 tests of observations and state passed.

--- a/flamingostack/gateway/observations.py
+++ b/flamingostack/gateway/observations.py
@@ -27,7 +27,7 @@
 MIN_SLOWDOWN = 3.0
 MIN_FAILURE_RATE = 0.2
 # Waiting requests for each slot from which a target counts as in trouble.
-MIN_QUEUE = 1.0
+MIN_REPORTED_QUEUE = 1.0
 # An instance that sees a larger share of its targets in trouble is probably in trouble itself.
 MAX_TROUBLED_SHARE = 0.4
 MIN_OBSERVERS = 2
@@ -54,7 +54,7 @@
     def severity(self) -> float:
         """Order of the observations of which only the worst are sent."""
         trouble = self.slowdown / MIN_SLOWDOWN + self.failure_rate / MIN_FAILURE_RATE
-        return trouble + self.queue / MIN_QUEUE
+        return trouble + self.queue / MIN_REPORTED_QUEUE
 
 
 def collect_own(targets: Iterable[Target], now: float) -> list[Observation]:
@@ -67,8 +67,8 @@
         if item.slowdown >= MIN_SLOWDOWN or item.failure_rate >= MIN_FAILURE_RATE
     ]
     # A target's own word on its queue does not depend on who has asked it.
-    queued = [item for item in observations if item.queue >= MIN_QUEUE]
-    unexplained = [item for item in in_trouble if item.queue < MIN_QUEUE]
+    queued = [item for item in observations if item.queue >= MIN_REPORTED_QUEUE]
+    unexplained = [item for item in in_trouble if item.queue < MIN_REPORTED_QUEUE]
     if len(unexplained) > max(len(recent) * MAX_TROUBLED_SHARE, 1):
         return select_worst(queued)
     return select_worst(queued + unexplained)
