Refuse a request whose id cannot be returned

Cause: an id with bytes beyond ASCII was sent to targets and back. With aiohttp's pure Python writer the answer could not be encoded, and the connection ended without one; with the C writer the id returned was another one, and a target that checks it left the request to its time limit (504).

Change: 400, malformed_request_id, before anything is sent.

Before and after: the new test of RefusalTest failed with both parsers (504, and an empty answer), and passes with both; 40 passed in test_server and test_malformed, with AIOHTTP_NO_EXTENSIONS=1 as well.

--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -164,11 +164,14 @@
     arrived_at = gateway.now()
     await gateway.wait_after_pause()
     request_id = messages.read_request_id(request.headers)
+    if not request_id.isascii():
+        # Such an id cannot be returned with the answer.
+        return refuse_request(gateway, "", 400, "malformed_request_id")
+    if messages.has_ambiguous_id(request.headers):
+        return refuse_request(gateway, request_id, 400, "ambiguous_request_id")
     refusal = check_limits(gateway, request)
     if refusal is not None:
         return refuse_request(gateway, request_id, *refusal)
-    if messages.has_ambiguous_id(request.headers):
-        return refuse_request(gateway, request_id, 400, "ambiguous_request_id")
     if gateway.routes is None:
         return refuse_request(gateway, request_id, 503, "no_configuration", NOT_READY_RETRY_AFTER_S)
     host, path = messages.split_target(request.raw_path, request.headers.get("Host", ""))
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -349,6 +349,19 @@
         self.assertIn(b" 400 ", answer.partition(b"\r\n")[0])
         self.assertEqual(target.requests, [])
 
+    async def test_id_that_cannot_be_returned_is_refused(self):
+        target = FakeTarget()
+        running = await self.start_gateway({"one": [target]}, [make_route("one", service="one")])
+        reader, writer = await asyncio.open_connection(HOST, running.port)
+        writer.write(
+            b"GET /one/x HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: r\xff1\r\n"
+            b"Connection: close\r\n\r\n"
+        )
+        answer = await reader.read()
+        writer.close()
+        self.assertEqual((answer[:12], answer[-20:]), (b"HTTP/1.1 400", b"malformed_request_id"))
+        self.assertEqual(target.requests, [])
+
     async def test_smuggled_request_is_not_run(self):
         target = FakeTarget()
         running = await self.start_gateway({"one": [target]}, [make_route("one", service="one")])
