Keep the ports of control tests reserved until their processes listen

The second process then ends with status UNAVAILABLE, whose log line the test drops, and start("a1", "b1") only times out after 15 s.

Ruled out: connections that take a port.

Change: Cluster.reserve_ports keeps a bound socket that does not listen until the cluster stops; a wait raises an error when a control process has ended without success.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -24,6 +24,7 @@
 from flamingostack.generated import messages_pb2 as pb
 from flamingostack.settings import parse_settings
 from flamingostack.state import FleetView, StateFeed
+from flamingostack.status import ExitStatus
 from tests.control.fakes import FakeStore
 
 SETTINGS = """
@@ -120,6 +121,13 @@
         self.follow_task = asyncio.create_task(self.feed.run())
         self.entry_follow_task = asyncio.create_task(self.entry_feed.run())
 
+    def raise_error(self) -> None:
+        """Raise RuntimeError if the control process has ended without success."""
+        if self.serve_task is not None and self.serve_task.done():
+            status = self.serve_task.result()
+            if status != ExitStatus.SUCCESS:
+                raise RuntimeError(f"{self.address} ended with status {status.name}")
+
     async def stop(self) -> None:
         """Shut down gracefully, with followers that have finished their work."""
         self.feed.report_shutdown(finished=True)
@@ -166,6 +174,12 @@
         """Continue the frozen control process."""
         self.child.send_signal(signal.SIGCONT)
 
+    def raise_error(self) -> None:
+        """Raise RuntimeError if the process has ended on its own, with a status above 0."""
+        status = self.child.poll()
+        if status is not None and status > 0:
+            raise RuntimeError(f"{self.address} ended with status {status}")
+
     async def kill(self) -> None:
         self.child.kill()
         self.child.wait()
@@ -179,6 +193,7 @@
     def __init__(self) -> None:
         self.store = FakeStore()
         self.instances: dict[str, Instance] = {}
+        self._reservations: list[socket.socket] = []
 
     async def start(self, *names: str) -> None:
         await self.store.start()
@@ -187,7 +202,7 @@
 
     def add(self, name: str, instance_class: type[Instance] = Instance) -> Instance:
         peers = [item.address for item in self.instances.values()]
-        instance = instance_class(name, find_free_ports(3), self.store.url, peers)
+        instance = instance_class(name, self.reserve_ports(3), self.store.url, peers)
         self.instances[name] = instance
         instance.start()
         return instance
@@ -196,15 +211,37 @@
         for instance in self.instances.values():
             await instance.kill()
         await self.store.stop()
+        for item in self._reservations:
+            item.close()
+
+    def reserve_ports(self, count: int) -> list[int]:
+        """Return ports that no other process or cluster gets until this cluster is stopped.
+
+        A socket that is bound but does not listen keeps a port from being handed out again, while
+        a server that also sets SO_REUSEADDR can still listen there.
+        """
+        ports = []
+        for _ in range(count):
+            item = socket.socket()
+            item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            item.bind(("127.0.0.1", 0))
+            self._reservations.append(item)
+            ports.append(item.getsockname()[1])
+        return ports
 
     async def operate(self, name: str, wait_ms: int = 3000, **request) -> pb.OperateReply:
         message = pb.OperateRequest(protocol=1, operator="ann", wait_ms=wait_ms, **request)
         return await self.instances[name].process.service.operations.operate(message)
 
     def holders(self) -> dict[int, list[str]]:
-        """Return the instances that have a grant and a valid lease, by partition."""
+        """Return the instances that have a grant and a valid lease, by partition.
+
+        Raise RuntimeError if a control process could not start, for example because its port is in
+        use. Otherwise a test would only time out.
+        """
         holders: dict[int, list[str]] = {number: [] for number in range(12)}
         for name, instance in self.instances.items():
+            instance.raise_error()
             if instance.feed.is_current():
                 for number in instance.feed.view.grants_by_partition:
                     holders[number].append(name)
@@ -265,14 +302,6 @@
     return grant and (grant.term, grant.transfer)
 
 
-def find_free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 def drop_log_event(logger, name, event):
     """Discard a log event; a structlog processor."""
     raise structlog.DropEvent
