Bound the memory of all answers that are being received, and fuzz with hostile bytes

Cause: make fuzz (new here) with seed 9 let gateways grow by 45 MiB; the bound is 32. A body in chunks of five bytes is kept as an object for each chunk: one exchange took 40 MB for 4 MiB, and 20 endless bodies at the same time 85 MB.

Ruled out: the limit of the bytes beside the body. Lowering the limit of a body to 256 KiB let the same seed grow by 6.8 MiB, so it is the bodies.

Change: a body is one buffer. The bodies of all exchanges share a limit of 12 MiB, where the largest is given up first; a part of a query may have its share of the 4 MiB of an answer. soak/hostile.py plays targets and callers that send hostile bytes, make fuzz starts it, and the soak checks the memory of each process.

Conclusion: hostile seeds are run by hand next; a hostile store and hostile instances are not played.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format generate demo measure soak clean
+.PHONY: setup test lint format generate demo measure soak fuzz clean
 
 setup: $(STAMP)
 
@@ -39,5 +39,9 @@
 soak: setup
 	$(BIN)/python -m soak $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
 
+# make fuzz, make fuzz SEED=7, make fuzz MINUTES=5
+fuzz: setup
+	$(BIN)/python -m soak --hostile $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
+
 clean:
 	rm -rf $(VENV) build *.egg-info out
--- a/flamingostack/gateway/connection.py
+++ b/flamingostack/gateway/connection.py
@@ -7,6 +7,7 @@
   reaches another request.
 - Bytes arrive without end: in a head, in a body, or as answers to other requests. The exchange ends
   once a limit in bytes or messages is reached, and the loop is free again between two reads.
+- Many targets do so at the same time. The bodies of all exchanges share one limit.
 """
 
 from __future__ import annotations
@@ -22,8 +23,11 @@
 
 Address = tuple[str, int]
 
-# By their documentation, targets send no larger answers; the limit bounds the memory of a request.
+# Largest body of all parts of a request together.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Limit of all bodies that are being received. Only those that exceed the usual size are counted.
+MAX_PENDING_BYTES = 12 * 1024 * 1024
+USUAL_BODY_BYTES = 16 * 1024
 # Limit of the bytes of an exchange that are not part of the awaited body: heads, chunk sizes,
 # trailers, and answers to other requests. A chunked body may have as many more as its length.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -74,6 +78,30 @@
 Reply = TargetResponse | BrokenExchange | ExpiredExchange
 
 
+class PendingBodies:
+    """Bounds the memory of the bodies that are being received on all connections together.
+
+    It handles the load pattern of many targets that send large or endless bodies at the same time.
+    The largest body is given up first, since it has taken the most of what all others need.
+    """
+
+    __slots__ = ("total_bytes", "_bytes_by_connection")
+
+    def __init__(self) -> None:
+        self.total_bytes = 0
+        self._bytes_by_connection: dict[TargetConnection, int] = {}
+
+    def set_bytes(self, connection: TargetConnection, body_bytes: int) -> None:
+        """Record the size of the body that a connection is receiving; 0 if it receives none."""
+        self.total_bytes += body_bytes - self._bytes_by_connection.pop(connection, 0)
+        if body_bytes:
+            self._bytes_by_connection[connection] = body_bytes
+        while self.total_bytes > MAX_PENDING_BYTES:
+            largest = max(self._bytes_by_connection, key=self._bytes_by_connection.__getitem__)
+            self.total_bytes -= self._bytes_by_connection.pop(largest)
+            largest.give_up(f"bodies of all answers exceed {MAX_PENDING_BYTES} bytes")
+
+
 class TargetConnection(asyncio.Protocol):
     """A connection to a target, which serves one exchange at a time.
 
@@ -87,12 +115,14 @@
         "idle_since",
         "skipped_answers",
         "recent_request_ids",
+        "_pending_bodies",
         "_on_lost",
         "_transport",
         "_parser",
         "_reply",
         "_request_id",
         "_is_head_request",
+        "_max_body_bytes",
         "_has_served",
         "_error",
         "_response",
@@ -105,10 +135,13 @@
         "_is_awaited",
         "_ends_with_connection",
         "_keeps_alive",
-        "_body_chunks",
+        "_body",
     )
 
-    def __init__(self, on_lost: Callable[[TargetConnection], None]) -> None:
+    def __init__(
+        self, pending_bodies: PendingBodies, on_lost: Callable[[TargetConnection], None]
+    ) -> None:
+        self._pending_bodies = pending_bodies
         self.is_open = True
         # Whether another exchange may follow; valid after an exchange has ended.
         self.is_reusable = False
@@ -124,21 +157,27 @@
         self._reply: asyncio.Future[Reply] | None = None
         self._request_id = ""
         self._is_head_request = False
+        self._max_body_bytes = 0
         self._has_served = False
         self._clear_exchange()
 
     def exchange(
-        self, request: bytes, request_id: str, is_head_request: bool
+        self,
+        request: bytes,
+        request_id: str,
+        is_head_request: bool,
+        max_body_bytes: int = MAX_ANSWER_BYTES,
     ) -> asyncio.Future[Reply]:
         """Send an encoded request; the future gets the reply to it.
 
-        The caller sets the future to `ExpiredExchange` at its time limit, and then closes the
-        connection.
+        An answer whose body exceeds `max_body_bytes` is given up. The caller sets the future to
+        `ExpiredExchange` at its time limit, and then closes the connection.
         """
         self._clear_exchange()
         self._request_id = request_id
         self.recent_request_ids.append(request_id)
         self._is_head_request = is_head_request
+        self._max_body_bytes = max_body_bytes
         self.is_reusable = False
         reply = self._reply = asyncio.get_running_loop().create_future()
         if self._transport is None or self._transport.is_closing():
@@ -147,6 +186,12 @@
             self._transport.write(request)
         return reply
 
+    def give_up(self, reason: str) -> None:
+        """End the exchange without an answer, and close the connection."""
+        self._error = self._error or reason
+        self._body.clear()
+        self._end_exchange(BrokenExchange(self._error))
+
     def close(self) -> None:
         """Close the connection at once; the target stops working on an unanswered request."""
         self.is_reusable = False
@@ -239,11 +284,13 @@
         if not self._is_awaited:
             return
         self._body_bytes += len(body)
-        if self._body_bytes > MAX_ANSWER_BYTES:
-            self._error = f"answer exceeds {MAX_ANSWER_BYTES} bytes"
-            self._body_chunks.clear()
-        else:
-            self._body_chunks.append(body)
+        if self._body_bytes > self._max_body_bytes:
+            self._error = self._error or f"answer exceeds {self._max_body_bytes} bytes"
+            self._body.clear()
+        elif self._error is None:
+            self._body += body
+            if self._body_bytes > USUAL_BODY_BYTES:
+                self._pending_bodies.set_bytes(self, self._body_bytes)
 
     def on_message_complete(self) -> None:
         """Complete the awaited answer."""
@@ -274,7 +321,7 @@
             self._error = f"more than {MAX_SKIPPED_ANSWERS} answers to other requests"
 
     def _complete_response(self) -> None:
-        body = b"".join(self._body_chunks)
+        body = bytes(self._body)
         # Known only until the parser leaves the message.
         self._keeps_alive = self._parser.should_keep_alive()
         self._response = TargetResponse(self._parser.get_status_code(), self._headers, body)
@@ -282,6 +329,8 @@
     def _end_exchange(self, reply: Reply) -> None:
         if self._reply is None:
             return
+        self._pending_bodies.set_bytes(self, 0)
+        self._body.clear()
         future, self._reply = self._reply, None
         is_whole = isinstance(reply, TargetResponse) and self._error is None
         # Without the id, a second copy of this answer could not be told from the next answer.
@@ -315,13 +364,14 @@
         self._is_awaited = False
         self._ends_with_connection = False
         self._keeps_alive = False
-        self._body_chunks: list[bytes] = []
+        # One buffer, since an object for each chunk takes ten times as much as a short chunk.
+        self._body = bytearray()
 
 
 class ConnectionPool:
     """Idle connections by address; owned by one event loop."""
 
-    __slots__ = ("skipped_answers", "_loop", "_idle_by_address", "_open")
+    __slots__ = ("skipped_answers", "_loop", "_idle_by_address", "_open", "_pending_bodies")
 
     def __init__(self) -> None:
         # Total over all connections, also closed ones.
@@ -329,6 +379,7 @@
         self._loop = asyncio.get_running_loop()
         self._idle_by_address: dict[Address, dict[TargetConnection, asyncio.TimerHandle]] = {}
         self._open: set[TargetConnection] = set()
+        self._pending_bodies = PendingBodies()
 
     def take(self, address: Address, request_id: str) -> TargetConnection | None:
         """Return the connection that was used last; None if none is left that may be used.
@@ -359,7 +410,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: TargetConnection(self._open.discard), host, port
+                    lambda: TargetConnection(self._pending_bodies, self._open.discard), host, port
                 )
         except TimeoutError:
             return f"no connection to {host}:{port} within {timeout_s:.3f} s"
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -7,6 +7,7 @@
 
 from ..errors import Failure, Reason
 from .admission import MIN_QUEUE, compute_refused_share
+from .connection import MAX_ANSWER_BYTES
 from .fanout import (
     MIN_SOFT_DEADLINE_MARGIN_S,
     SOFT_DEADLINE_MARGIN_SHARE,
@@ -227,7 +228,9 @@
 
     async def _run_send(self, part: Part, target: Target, time_left_s: float, now: float) -> None:
         latency_s = self.stats.typical_latency_s(self.route, now)
-        result = await self.gateway.sender.send(self.request, target, time_left_s, latency_s)
+        result = await self.gateway.sender.send(
+            self.request, target, time_left_s, latency_s, MAX_ANSWER_BYTES // len(self.plan.parts)
+        )
         if result.outcome is SendOutcome.ANSWERED:
             self.stats.latency.record(result.elapsed_s)
         self._results.put_nowait((part, target, result))
--- a/flamingostack/gateway/sender.py
+++ b/flamingostack/gateway/sender.py
@@ -15,6 +15,7 @@
     read_load,
 )
 from .connection import (
+    MAX_ANSWER_BYTES,
     BrokenExchange,
     ConnectionPool,
     ExpiredExchange,
@@ -133,11 +134,17 @@
         return self._pool.skipped_answers
 
     async def send(
-        self, request: OutgoingRequest, target: Target, time_left_s: float, latency_s: float
+        self,
+        request: OutgoingRequest,
+        target: Target,
+        time_left_s: float,
+        latency_s: float,
+        max_body_bytes: int = MAX_ANSWER_BYTES,
     ) -> SendResult:
         """Send a request to a target and update the target's state from the outcome.
 
-        `time_left_s` is the time limit; `latency_s` is the typical latency of the route. If this
+        `time_left_s` is the time limit; `latency_s` is the typical latency of the route; an answer
+        whose body exceeds `max_body_bytes` counts as lost. If this
         coroutine is cancelled, the connection is closed, which tells the target to stop.
         """
         started_at = self._loop.time()
@@ -145,7 +152,7 @@
         send_id = self._last_send_id
         target.record_send_start(send_id, started_at)
         try:
-            result = await self._exchange(request, target, time_left_s, started_at)
+            result = await self._exchange(request, target, time_left_s, started_at, max_body_bytes)
         except asyncio.CancelledError:
             now = self._loop.time()
             if now - started_at > latency_s:
@@ -157,7 +164,12 @@
         return result
 
     async def _exchange(
-        self, request: OutgoingRequest, target: Target, time_left_s: float, started_at: float
+        self,
+        request: OutgoingRequest,
+        target: Target,
+        time_left_s: float,
+        started_at: float,
+        max_body_bytes: int,
     ) -> SendResult:
         entry = target.entry
 
@@ -181,7 +193,8 @@
         except ValueError as error:
             connection.close()
             return make_result(SendOutcome.NOT_SENT, str(error))
-        reply = await self._await_reply(connection, encoded, request, expires_at)
+        reply = connection.exchange(encoded, request.id, request.method == "HEAD", max_body_bytes)
+        reply = await self._await_reply(connection, reply, expires_at)
         self._pool.release(address, connection)
         match reply:
             case TargetResponse():
@@ -192,13 +205,8 @@
                 return make_result(SendOutcome.TIMED_OUT)
 
     async def _await_reply(
-        self,
-        connection: TargetConnection,
-        encoded: bytes,
-        request: OutgoingRequest,
-        expires_at: float,
+        self, connection: TargetConnection, reply: asyncio.Future[Reply], expires_at: float
     ) -> Reply:
-        reply = connection.exchange(encoded, request.id, request.method == "HEAD")
         timer = self._loop.call_at(expires_at, expire, reply)
         try:
             return await reply
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 import cyclopts
 
 from .checks import find_violations
-from .faults import run_faults
+from .faults import FAULTS, HOSTILE_FAULTS, run_faults
 from .world import Environment
 
 OUTPUT_FOLDER = Path("out/soak")
@@ -26,7 +26,7 @@
 app = cyclopts.App(name="soak", help="Fault soak of the gateway on one machine.")
 
 
-async def run_seed(seed: int, slot: int, duration_s: float) -> list[str]:
+async def run_seed(seed: int, slot: int, duration_s: float, is_hostile: bool = False) -> list[str]:
     """Run one seed and return its violations.
 
     Writes the faults, the violations and the logs of the instances to `out/soak/<seed>/`, after
@@ -37,11 +37,12 @@
     for path in folder.iterdir():
         path.unlink()
     environment = Environment(seed, slot, folder)
+    faults = HOSTILE_FAULTS if is_hostile else FAULTS
     with (folder / "faults.log").open("w") as log:
         try:
             await environment.start()
             await run_faults(
-                environment, duration_s, lambda line: print(line, file=log, flush=True)
+                environment, duration_s, lambda line: print(line, file=log, flush=True), faults
             )
             await asyncio.sleep(RECOVERY_S - RECOVERY_CHECK_S)
             environment.recovery_check_from = environment.now()
@@ -56,13 +57,14 @@
         f"{len(environment.ledger.arrivals)} arrivals"
     )
     counts += f", event loop late by {environment.max_lag_s:.2f} s at most"
+    counts += f", processes grew by {environment.max_growth_bytes / 2**20:.1f} MiB at most"
     print(f"seed {seed}: {len(violations)} violations, {counts}", flush=True)
     for line in violations[:10]:
         print(f"  {line}", flush=True)
     return violations
 
 
-async def run_seeds(seeds: list[int], jobs: int, duration_s: float) -> int:
+async def run_seeds(seeds: list[int], jobs: int, duration_s: float, is_hostile: bool) -> int:
     """Run each seed in its own process, `jobs` at a time; return how many exited with an error."""
     remaining = list(reversed(seeds))
     failed = 0
@@ -74,6 +76,7 @@
                 sys.executable,
                 *("-m", "soak", "--seed", str(remaining.pop()), "--slot", str(slot)),
                 *("--duration-s", str(duration_s)),
+                *(("--hostile",) if is_hostile else ()),
             )
             failed += bool(await process.wait())
 
@@ -92,16 +95,19 @@
     duration_s: Annotated[float, cyclopts.Parameter(help="time with faults in each seed")] = 14.0,
     jobs: Annotated[int, cyclopts.Parameter(help="seeds to run at the same time")] = 2,
     slot: Annotated[int, cyclopts.Parameter(help="address range of this run, 0 to 99")] = 0,
+    hostile: Annotated[
+        bool, cyclopts.Parameter(negative="", help="targets and callers that send hostile bytes")
+    ] = False,
 ) -> None:
     """Run seeds; exit with status 1 if there was a violation."""
     if seed is not None:
-        sys.exit(int(bool(asyncio.run(run_seed(seed, slot, duration_s)))))
+        sys.exit(int(bool(asyncio.run(run_seed(seed, slot, duration_s, hostile)))))
     if minutes is not None:
         per_seed_s = duration_s + RECOVERY_S + 8
         count = max(int(minutes * 60 / per_seed_s * jobs), 1)
     rng = random.Random(time.time_ns())
     seeds = [rng.randrange(MAX_SEED) for _ in range(count)]
-    failed = asyncio.run(run_seeds(seeds, jobs, duration_s))
+    failed = asyncio.run(run_seeds(seeds, jobs, duration_s, hostile))
     print(f"{count - failed} passed, {failed} failed")
     sys.exit(int(failed > 0))
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 
 from standins.proxy import DIRECTIONS, Listener, inject_fault
 
+from .hostile import HostileCaller
 from .instances import RESTART_DELAY_S, Instance
 from .targets import SoakTarget
 from .world import DOMAINS, SERVICES, Environment, make_process_key
@@ -140,6 +141,38 @@
     return f"targets {[t.id for t in chosen]}: {kinds}"
 
 
+async def hostile_targets(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Make up to a third of the targets misbehave at the byte level."""
+    serving = [t for t in environment.targets if not t.is_draining and not t.fault]
+    chosen = rng.sample(serving, rng.randint(1, max(len(serving) // 3, 1)))
+    recording = asyncio.create_task(record_fault(environment, [t.id for t in chosen], seconds))
+    for target in chosen:
+        target.fault, target.fault_probability = "hostile", rng.choice((0.2, 1.0))
+    await asyncio.sleep(seconds)
+    for target in chosen:
+        target.fault = ""
+    await recording
+    return f"hostile targets {[t.id for t in chosen]}"
+
+
+async def hostile_callers(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Send malformed, ambiguous, endless, slow and cut requests to all instances."""
+    callers = [
+        asyncio.create_task(HostileCaller(environment, instance, random.Random(rng.random())).run())
+        for instance in environment.instances
+        for _ in range(rng.randint(1, 3))
+    ]
+    try:
+        await asyncio.sleep(seconds)
+    finally:
+        for caller in callers:
+            caller.cancel()
+        results = await asyncio.gather(*callers, return_exceptions=True)
+    failed = [result for result in results if isinstance(result, Exception)]
+    environment.ledger.immediate_violations += [f"the soak itself failed: {e!r}" for e in failed]
+    return f"{len(callers)} hostile callers"
+
+
 async def cold_restart(environment: Environment, rng: random.Random, seconds: float) -> str:
     """Crash a target and start a cold one with a new ID at its address."""
     old = rng.choice([t for t in environment.targets if not t.is_draining])
@@ -280,10 +313,22 @@
     freeze,
     reload,
 )
+# Faults of `make fuzz`. They are kept apart, since a seed of the soak has to repeat its faults.
+HOSTILE_FAULTS: tuple[Fault, ...] = (
+    hostile_targets,
+    hostile_targets,
+    hostile_callers,
+    hostile_callers,
+    configurations,
+    terminate,
+)
 
 
 async def run_faults(
-    environment: Environment, duration_s: float, log: Callable[[str], None]
+    environment: Environment,
+    duration_s: float,
+    log: Callable[[str], None],
+    faults: tuple[Fault, ...] = FAULTS,
 ) -> None:
     """Inject random faults at random times within `duration_s`, and wait until all have ended.
 
@@ -303,4 +348,4 @@
 
     async with asyncio.TaskGroup() as group:
         for start_s in starts:
-            group.create_task(run_fault(start_s, rng.choice(FAULTS), random.Random(rng.random())))
+            group.create_task(run_fault(start_s, rng.choice(faults), random.Random(rng.random())))
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -115,6 +115,16 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal_number)
 
+    def read_resident_bytes(self) -> int:
+        """Return the resident memory of the process; 0 if it is not running."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        try:
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except OSError:
+            return 0
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
     async def terminate(self) -> None:
         """Stop the process with SIGTERM, and kill it if it is still running after the grace period.
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -10,6 +10,7 @@
 
 from standins.objects import start_server
 
+from .hostile import play_answer
 from .ledger import Arrival, Ledger
 
 RECORD_BYTES = 16
@@ -132,6 +133,8 @@
             "X-Server-Load": self._format_load(),
         }
         match fault:
+            case "hostile":
+                await play_answer(request.transport, headers, body, self.rng)
             case "hang":
                 await asyncio.sleep(30)
             case "lose":
--- a/soak/world.py
+++ b/soak/world.py
@@ -42,6 +42,8 @@
 START_TIMEOUT_S = 20.0
 READINESS_REQUEST = b"GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 LAG_SAMPLE_INTERVAL_S = 0.05
+MEMORY_SAMPLE_INTERVAL_S = 0.1
+MAX_GROWTH_BYTES = 32 * 1024 * 1024
 FIRST_PROXY_PORT = 20000
 FIRST_TARGET_PORT = 30000
 
@@ -76,6 +78,8 @@
         self.recovery_check_from = float("inf")
         # The longest delay of a timer of the soak's own event loop.
         self.max_lag_s = 0.0
+        # The largest growth of a gateway process since it was ready, in bytes.
+        self.max_growth_bytes = 0
         self._ports = iter(range(FIRST_PROXY_PORT, FIRST_TARGET_PORT))
         self._tasks: list[asyncio.Task] = []
 
@@ -111,6 +115,7 @@
                 while not await self.is_ready(instance):  # noqa: ASYNC110
                     await asyncio.sleep(0.1)
         for instance in self.instances:
+            self.start_task(self.measure_memory(instance))
             for _ in range(CALLERS_PER_INSTANCE):
                 self.start_task(Caller(self, instance, random.Random(self.rng.random())).run())
             self.start_task(Caller(self, instance, random.Random(self.rng.random())).probe())
@@ -122,6 +127,25 @@
             await asyncio.sleep(LAG_SAMPLE_INTERVAL_S)
             self.max_lag_s = max(self.max_lag_s, self.now() - due)
 
+    async def measure_memory(self, instance: Instance) -> None:
+        """Record by how much each process of an instance grows, until cancelled."""
+        process_number = baseline = 0
+        while True:
+            await asyncio.sleep(MEMORY_SAMPLE_INTERVAL_S)
+            resident = instance.read_resident_bytes()
+            if process_number != instance.process_number:
+                baseline = 0
+            if not baseline and await self.is_ready(instance):
+                baseline, process_number = instance.read_resident_bytes(), instance.process_number
+            if baseline and resident:
+                growth = resident - baseline
+                self.max_growth_bytes = max(self.max_growth_bytes, growth)
+                if growth > MAX_GROWTH_BYTES:
+                    self.ledger.immediate_violations.append(
+                        f"{instance.name} grew by {growth} bytes"
+                    )
+                    return
+
     def start_task(self, coroutine) -> asyncio.Task:
         """Run a coroutine in a task that is cancelled at the end of the run."""
         task = asyncio.create_task(coroutine)
--- a/standins/hostile.py
+++ b/standins/hostile.py
@@ -11,12 +11,13 @@
 import re
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 HOST = "127.0.0.1"
 REQUEST_END = b"\r\n\r\n"
 ENDLESS_BLOCK_BYTES = 65536
 STALL_S = 0.02
+WRITE_POLL_S = 0.001
 
 
 class Write:
@@ -55,7 +56,13 @@
         self.is_reset = is_reset
 
 
-Step = Write | WriteEndlessly | Stall | Close
+class HalfClose:
+    """Close the sending direction only."""
+
+    __slots__ = ()
+
+
+Step = Write | WriteEndlessly | Stall | Close | HalfClose
 Script = Callable[[str], list[Step]]
 
 
@@ -92,30 +99,50 @@
                 match = re.search(r"(?i)x-request-id: (\S+)", head)
                 request_id = match[1] if match else ""
                 self.request_ids.append(request_id)
-                for step in self.script(request_id):
-                    await self._play(step, writer)
+                await play_steps(self.script(request_id), writer.transport, self._count_written)
         writer.close()
 
-    async def _play(self, step: Step, writer: asyncio.StreamWriter) -> None:
+    def _count_written(self, data: bytes) -> None:
+        self.written_bytes += len(data)
+
+
+async def play_steps(
+    steps: Iterable[Step],
+    transport: asyncio.Transport,
+    on_written: Callable[[bytes], None] | None = None,
+) -> None:
+    """Play steps on a connection; raise ConnectionResetError once it is closed by either side.
+
+    `on_written` is called with all data that was handed to the transport.
+    """
+
+    async def write(data: bytes) -> None:
+        transport.write(data)
+        if on_written is not None:
+            on_written(data)
+        while transport.get_write_buffer_size() > ENDLESS_BLOCK_BYTES:  # noqa: ASYNC110
+            await asyncio.sleep(WRITE_POLL_S)
+
+    for step in steps:
+        if transport.is_closing():
+            raise ConnectionResetError
         match step:
             case Write(data=data):
-                writer.write(data)
-                self.written_bytes += len(data)
-                await writer.drain()
+                await write(data)
             case WriteEndlessly(block=block):
-                while not writer.is_closing():
-                    writer.write(block)
-                    await writer.drain()
-                    self.written_bytes += len(block)
+                while not transport.is_closing():
+                    await write(block)
                     await asyncio.sleep(0)
             case Stall(seconds=seconds):
                 await asyncio.sleep(seconds)
+            case HalfClose():
+                transport.write_eof()
             case Close(is_reset=is_reset):
                 if is_reset:
                     reset_on_close = struct.pack("ii", 1, 0)
-                    own_socket = writer.get_extra_info("socket")
+                    own_socket = transport.get_extra_info("socket")
                     own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close)
-                    writer.transport.abort()
+                    transport.abort()
                 raise ConnectionResetError
 
 
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import resource
 import time
+import tracemalloc
 import unittest
 
 from multidict import CIMultiDict
@@ -31,6 +32,8 @@
 
 BODY = bytes(range(256)) * 4
 TIME_LIMIT_S = 1.0
+# Where memory is traced, which slows the exchanges down.
+SLOW_LIMIT_S = 30.0
 LATENCY_S = 0.05
 # No peer may hold the loop for longer than 20 ms on half a core, that is 10 ms of processor time.
 MAX_HELD_S = 0.01
@@ -136,6 +139,29 @@
         head = make_head("r1", "Transfer-Encoding: chunked")
         await self.check(Write(head), WriteEndlessly(b"1\r\nx\r\n"))
 
+    async def test_chunks_as_long_as_their_sizes(self):
+        head = make_head("r1", "Transfer-Encoding: chunked")
+        await self.check_memory([Write(head), WriteEndlessly(b"5\r\nabcde\r\n")])
+
+    async def test_bodies_at_the_same_time(self):
+        await self.check_memory([Write(make_head("r1")), WriteEndlessly(b"x" * 1000)], count=20)
+
+    async def check_memory(self, steps: list[Step], count: int = 1) -> None:
+        """Check the memory of exchanges with a few bytes at a time, which must all be given up."""
+        target = await self.start_target(lambda _: steps)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        results = await asyncio.gather(
+            *(
+                self.sender.send(make_request(), target, SLOW_LIMIT_S, LATENCY_S)
+                for _ in range(count)
+            )
+        )
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertLess(peak_bytes, MAX_MEMORY_GROWTH_BYTES)
+        for result in results:
+            self.assertIs(result.outcome, SendOutcome.LOST, result.detail)
+
     async def test_trailers(self):
         head = make_head("r1", "Transfer-Encoding: chunked")
         await self.check(Write(head + b"0\r\n"), WriteEndlessly(b"a: b\r\n"))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
 SHORT_RUN_S = 6
 TIMEOUT_S = 60
 SEEDS = (1,)
+HOSTILE_SEEDS = (3,)
 LONG_RUN_S = 14
 
 
@@ -30,10 +31,10 @@
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     """Guards against violations of the gateway's guarantees while faults overlap."""
 
-    async def run_seed(self, seed: int, duration_s: int = SHORT_RUN_S) -> None:
+    async def run_seed(self, seed: int, duration_s: int = SHORT_RUN_S, *options: str) -> None:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            *("-m", "soak", "--seed", str(seed), "--duration-s", str(duration_s)),
+            *("-m", "soak", "--seed", str(seed), "--duration-s", str(duration_s), *options),
             cwd=ROOT,
             stdout=asyncio.subprocess.PIPE,
         )
@@ -54,3 +55,7 @@
         # A connection that was accepted in the event-loop step in which a stopping instance closed
         # its listening socket ended without a response.
         await self.run_seed(556576, LONG_RUN_S)
+
+    async def test_hostile_bytes_of_targets_and_callers(self):
+        for seed in HOSTILE_SEEDS:
+            await self.run_seed(seed, SHORT_RUN_S, "--hostile")
