--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -154,10 +154,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ShowStatus:
-    """Arguments of `status`."""
+    """Arguments of `status`; `gateway` is a gateway's settings file, or empty."""
 
     list_targets: bool
     list_partitions: bool
+    gateway: str
     options: Options
 
 
@@ -311,10 +312,17 @@
     *,
     targets: Annotated[bool, Parameter(help="List each target.", negative="")] = False,
     partitions: Annotated[bool, Parameter(help="List each partition.", negative="")] = False,
+    gateway: Annotated[
+        str,
+        Parameter(
+            help="Settings file of any gateway: show the gateways that its store knows.",
+            allow_leading_hyphen=True,
+        ),
+    ] = "",
     options: Options = DEFAULT_OPTIONS,
 ) -> Command:
     """Show instances, targets, ownership and configuration versions."""
-    return ShowStatus(targets, partitions, options)
+    return ShowStatus(targets, partitions, gateway, options)
 
 
 def send_query(
--- a/flamingostack/core.py
+++ b/flamingostack/core.py
@@ -30,6 +30,7 @@
 )
 from .cli.environment import CommandEnvironment, make_command_environment
 from .cli.fleet import show_status
+from .cli.gateways import show_gateways
 from .cli.logs import explain_from_logs
 from .cli.output import Outcome, make_error, write_outcome
 from .cli.presets import check_preset, check_settings, list_presets, show_preset
@@ -96,6 +97,8 @@
             return None
         case ExplainRequest(logs=logs) if logs:
             return None
+        case ShowStatus(gateway=gateway) if gateway:
+            return None
         case SendQuery(entry=entry) if entry is not None:
             addresses.append(entry)
             needs_control = False
@@ -129,6 +132,8 @@
             return check_settings(command, environment)
         case PutPreset() | UsePreset() | SetMark():
             return await make_change(command, client, environment)
+        case ShowStatus(gateway=gateway) if gateway:
+            return await show_gateways(command, environment)
         case ShowStatus():
             return await show_status(command, client)
         case SendQuery():
--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -74,6 +74,7 @@
         "failed_at",
         "confirmed_at",
         "polled_at",
+        "sources",
         "_loss_event",
         "_answer_event",
         "_update_event",
@@ -89,6 +90,8 @@
         self.confirmed_at = float("-inf")
         # When another instance last polled this one.
         self.polled_at = float("-inf")
+        # The instances that are followed in place of the store.
+        self.sources: list[str] = []
         self._loss_event = asyncio.Event()
         self._answer_event = asyncio.Event()
         self._update_event = asyncio.Event()
--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -195,6 +195,7 @@
         is_following_peers = any(
             age < MAX_STALENESS_S for age in ages_by_source.values()
         ) or self.is_waiting_for_sources(sources)
+        self.store_status.sources = sources if is_following_peers else []
         if is_following_peers == self.store_status.is_following_peers:
             return
         self.gateway.log.info(
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -1,5 +1,7 @@
 """Relay of the store's state between instances: the HTTP server and its client.
 
+The server also tells operators the status of its instance (`status.py`).
+
 The relay serves two purposes. When the store rejects calls of some instances but serves others, an
 instance whose feed fails polls a random peer. And because the cost of store calls grows with the
 fleet, most instances follow two peers of their failure domain (`readers.py`, `follower.py`) instead
@@ -23,6 +25,7 @@
 from ..store import MAX_RESPONSE_BYTES, StoreFailure, make_session, send_request
 from .model import StoredRecord, StoredRecords
 from .observations import Observation, decode_observations
+from .status import STATUS_PATH, make_status
 
 if TYPE_CHECKING:
     from .feeds import Feed, StoreStatus
@@ -194,10 +197,13 @@
 def make_relay_server(
     gateway: Gateway, feeds_by_kind: Mapping[str, Feed], store_status: StoreStatus
 ) -> web.Server:
-    """Return the server that answers the polls of other instances."""
+    """Return the server that answers the polls of other instances, and operators."""
     encoder = ResponseEncoder()
 
     async def handle(request: web.BaseRequest) -> web.Response:
+        if request.path == STATUS_PATH:
+            status = make_status(gateway, feeds_by_kind, store_status)
+            return web.Response(body=msgspec.json.encode(status), content_type="application/json")
         wait_ms = parse_integer(request.query.get("wait_ms", ""))
         revisions_by_kind = {
             kind: revision
--- /dev/null
+++ b/tests/cli/test_gateways.py
@@ -0,0 +1,83 @@
+"""Tests of `flamingostack status --gateway`, with gateways in the event loop of the test."""
+
+from tests.cli.fakes import CommandTest
+from tests.gateway.fakes import HOST, FakeTarget, GatewayCase, make_configuration, make_route
+
+ROUTE = make_route("one", service="one")
+SETTINGS = """nodeName=front-a-1
+ipAddress=127.0.0.1
+zone=a
+listen.front=127.0.0.1:8226
+listen.readiness=127.0.0.1:8227
+internalPortRange=7740,7755
+bounds.gracePeriodS=6
+bounds.retryBudgetRatio=0.2
+bounds.retryWindowS=10
+bounds.retryBudgetSlack=40
+bounds.coldOvershoot=1.5
+bounds.coldSlack=5
+platform.address={store}
+"""
+
+
+class GatewayStatusTest(GatewayCase, CommandTest):
+    """Guards against an instance that lags, is gone or is unknown without an operator seeing it."""
+
+    async def start(self):
+        running = await self.start_gateway({"one": [FakeTarget()]}, [ROUTE])
+        self.register("front-a-1", f"{HOST}:{running.relay_port}")
+        self.settings = SETTINGS.format(store=self.store.url.removeprefix("http://"))
+        return running
+
+    def register(self, name: str, address: object) -> None:
+        self.store.put("flamingostack-instances", name, {"failure_domain": "a", "address": address})
+
+    async def run_status(self, *args: str, settings: str | None = None):
+        file = self.write_file((settings or self.settings).encode())
+        return await self.run_command("status", "--gateway", file, *args)
+
+    async def test_fleet_that_has_confirmed_the_version(self):
+        await self.start()
+        result = await self.run_status("--json")
+        self.assertEqual(result.status, 0, result.stdout)
+        self.assertEqual(result.data["version"], 7)
+        (instance,) = result.data["instances"]
+        self.assertEqual(instance["problems"], [])
+        self.assertEqual(instance["status"]["version"], 7)
+        self.assertEqual(instance["status"]["targets"], 1)
+
+    async def test_instance_behind_a_version_is_named(self):
+        running = await self.start()
+        running.tasks[0].cancel()
+        self.store.put("config", "main", make_configuration(9, [ROUTE], ["one"]))
+        result = await self.run_status()
+        self.assertEqual(result.status, 6, result.stderr)
+        self.assertIn("configuration: version 9", result.stdout)
+        self.assertRegex(result.stdout, "front-a-1 .* version 7, not yet 9")
+
+    async def test_instances_that_do_not_answer_are_named(self):
+        running = await self.start()
+        self.register("front-a-2", f"{HOST}:1")
+        self.register("front-a-3", "nowhere:99999999")
+        self.register("front-a-4", ["list"])
+        self.register("front-a-5", f"{HOST}:{running.relay_port}")
+        self.register("front-a-6", await self.start_raw(b"HTTP/1.1 200 OK\r\n\r\n[1]"))
+        result = await self.run_status()
+        self.assertEqual(result.status, 6)
+        for name in ("front-a-2", "front-a-3", "front-a-4", "front-a-6"):
+            self.assertRegex(result.stdout, f"{name} .* no status")
+        self.assertRegex(result.stdout, "front-a-5 .* the address is that of front-a-1")
+        self.assertIn("failure domain a: 1 of 6 instances without a problem", result.stdout)
+
+    async def test_store_that_is_down_is_named(self):
+        await self.start()
+        self.store.go_down()
+        result = await self.run_status()
+        self.assertEqual(result.status, 5)
+        self.assertIn(self.store.url, result.stderr)
+
+    async def test_settings_file_with_errors(self):
+        await self.start()
+        result = await self.run_status(settings="nodeName=x\n")
+        self.assertEqual(result.status, 3)
+        self.assertIn("missing key 'platform.address'", result.stderr)
