Serve nothing before evacuations are known, and mark targets out of service

A gateway was ready with a configuration and targets; while the list of the evacuations failed, it sent to targets in evacuated failure domains. And on the platform an operator could take a failure domain out of service, but not a single target.

Ruled out: a kind of its own for marks. Each reader would wait in one more watch; the entries of the instances are watched anyway, and an older gateway counts a mark as one more instance, so it uses a little less than its share.

The status of a gateway names its marks.

Before and after: test_restarted_instance_sends_nothing_before_it_knows_what_is_out_of_service failed (ready at once) and passes; four tests of the command; gateway, platform and command-line tests: 179 passed.

--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -25,6 +25,14 @@
     ),
 ]
 
+GatewayOption = Annotated[
+    str,
+    Parameter(
+        help="Settings file of any gateway: speak to the store and the gateways that it names.",
+        allow_leading_hyphen=True,
+    ),
+]
+
 
 def validate_name(_type: type, value: str | None) -> None:
     """Raise ValueError for a name that is empty, too long or has unprintable characters.
@@ -143,11 +151,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SetMark:
-    """Arguments of `mark failure-domain` and `mark target`."""
+    """Arguments of `mark failure-domain` and `mark target`.
+
+    `gateway` is a gateway's settings file, or empty.
+    """
 
     kind: SubjectKind
     name: str
     state: MarkStateName
+    gateway: str
     change: ChangeOptions
     options: Options
 
@@ -289,11 +301,12 @@
     state: MarkStateName,
     /,
     *,
+    gateway: GatewayOption = "",
     change: ChangeOptions = DEFAULT_CHANGE_OPTIONS,
     options: Options = DEFAULT_OPTIONS,
 ) -> Command:
     """Mark a failure domain as leaving or returning, or clear its mark."""
-    return SetMark("failure-domain", name, state, change, options)
+    return SetMark("failure-domain", name, state, gateway, change, options)
 
 
 def mark_target(
@@ -301,24 +314,19 @@
     state: MarkStateName,
     /,
     *,
+    gateway: GatewayOption = "",
     change: ChangeOptions = DEFAULT_CHANGE_OPTIONS,
     options: Options = DEFAULT_OPTIONS,
 ) -> Command:
     """Mark a target as leaving or returning, or clear its mark."""
-    return SetMark("target", name, state, change, options)
+    return SetMark("target", name, state, gateway, change, options)
 
 
 def show_status(
     *,
     targets: Annotated[bool, Parameter(help="List each target.", negative="")] = False,
     partitions: Annotated[bool, Parameter(help="List each partition.", negative="")] = False,
-    gateway: Annotated[
-        str,
-        Parameter(
-            help="Settings file of any gateway: show the gateways that its store knows.",
-            allow_leading_hyphen=True,
-        ),
-    ] = "",
+    gateway: GatewayOption = "",
     options: Options = DEFAULT_OPTIONS,
 ) -> Command:
     """Show instances, targets, ownership and configuration versions."""
--- a/flamingostack/cli/gateways.py
+++ b/flamingostack/cli/gateways.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..errors import Failure
+from ..gateway.marks import Marks, collect_marks, is_mark
 from ..gateway.model import InstanceSettings, StoredRecord
 from ..gateway.status import STATUS_PATH, InstanceStatus
 from ..platform.decode import decode_configuration
@@ -54,13 +55,14 @@
                 message = f"{settings.store_url}: {listed.message}"
                 return make_error(ExitStatus.UNAVAILABLE, listed.reason.code, message)
             version, records = listed
-            reports = await ask_instances(records, version)
+            marks = collect_marks(record.name for record in records)
+            reports = await ask_instances([item for item in records if is_instance(item)], version)
     except TimeoutError:
         message = f"{settings.store_url}: no answer within {command.options.timeout:g} s"
         return make_error(ExitStatus.UNAVAILABLE, "store_unavailable", message)
     finally:
         await store.close()
-    return describe_reports(version, reports)
+    return describe_reports(version, marks, reports)
 
 
 def read_settings(file: str, environment: CommandEnvironment) -> InstanceSettings | Outcome:
@@ -76,7 +78,7 @@
 async def list_fleet(
     store: ObjectStore,
 ) -> tuple[int | None, list[StoredRecord]] | StoreFailure:
-    """Return the newest stored version and the entries of the instances.
+    """Return the newest stored version, and the entries of the instances with the marks.
 
     The version is None if there is no configuration, or if the newest cannot be decoded.
     """
@@ -91,6 +93,11 @@
     return max(versions, default=None), instances.records
 
 
+def is_instance(record: StoredRecord) -> bool:
+    """Return whether an object is the entry of an instance, and not an operator's mark."""
+    return not is_mark(record.name)
+
+
 async def ask_instances(
     records: Sequence[StoredRecord], version: int | None
 ) -> list[GatewayReport]:
@@ -144,20 +151,27 @@
     return problems
 
 
-def describe_reports(version: int | None, reports: Sequence[GatewayReport]) -> Outcome:
+def describe_reports(
+    version: int | None, marks: Marks, reports: Sequence[GatewayReport]
+) -> Outcome:
     """Return the outcome: success only if all instances have confirmed the newest version."""
     faulty = [report for report in reports if report.problems]
     status = ExitStatus.NOT_YET_ACCEPTED if faulty else ExitStatus.SUCCESS
     shown = faulty + [report for report in reports if not report.problems]
     shown = shown[:MAX_INSTANCES_SHOWN]
-    lines = [f"configuration: version {version}", *format_domains(reports), ""]
+    lines = [f"configuration: version {version}", *format_domains(reports)]
+    lines += [f"leaving: {name}" for name in marks.list_names()] + [""]
     lines += format_table(
         ("instance", "domain", "version", "state from", "age", "targets", "paused", "problems"),
         [format_report(report) for report in shown],
     )
     if len(shown) < len(reports):
         lines.append(f"... and {len(reports) - len(shown)} more")
-    data = {"version": version, "instances": [msgspec.to_builtins(report) for report in reports]}
+    data = {
+        "version": version,
+        "leaving": marks.list_names(),
+        "instances": [msgspec.to_builtins(report) for report in reports],
+    }
     return Outcome(status, "\n".join(lines), data)
 
 
--- a/flamingostack/core.py
+++ b/flamingostack/core.py
@@ -32,6 +32,7 @@
 from .cli.fleet import show_status
 from .cli.gateways import show_gateways
 from .cli.logs import explain_from_logs
+from .cli.marks import set_gateway_mark
 from .cli.output import Outcome, make_error, write_outcome
 from .cli.presets import check_preset, check_settings, list_presets, show_preset
 from .cli.requests import explain_request, send_query
@@ -97,7 +98,7 @@
             return None
         case ExplainRequest(logs=logs) if logs:
             return None
-        case ShowStatus(gateway=gateway) if gateway:
+        case ShowStatus(gateway=gateway) | SetMark(gateway=gateway) if gateway:
             return None
         case SendQuery(entry=entry) if entry is not None:
             addresses.append(entry)
@@ -130,6 +131,8 @@
             return check_preset(command, environment)
         case CheckSettings():
             return check_settings(command, environment)
+        case SetMark(gateway=gateway) if gateway:
+            return await set_gateway_mark(command, environment)
         case PutPreset() | UsePreset() | SetMark():
             return await make_change(command, client, environment)
         case ShowStatus(gateway=gateway) if gateway:
--- a/flamingostack/gateway/directory.py
+++ b/flamingostack/gateway/directory.py
@@ -1,9 +1,11 @@
-"""Directory of usable targets, from registered entries, deletions and evacuations."""
+"""Directory of usable targets, from registered entries, deletions, evacuations and marks."""
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Iterable
 
+from .marks import NO_MARKS
 from .model import TargetEntry
 from .targets import Target
 
@@ -14,6 +16,13 @@
 OUTAGE_DELETION_WINDOW_S = 6.0
 
 
+class Exclusion(enum.Enum):
+    """What takes targets out of service beside their own entries."""
+
+    EVACUATIONS = "evacuations"
+    MARKS = "marks"
+
+
 class Directory:
     """Targets by id and by service. Not thread-safe; owned by the event loop.
 
@@ -21,20 +30,36 @@
     other one at once.
     """
 
-    __slots__ = ("targets_by_id", "targets_by_service", "evacuated_domains", "_removal_times_by_id")
+    __slots__ = (
+        "targets_by_id",
+        "targets_by_service",
+        "evacuated_domains",
+        "marks",
+        "unlisted_exclusions",
+        "_removal_times_by_id",
+    )
 
     def __init__(self) -> None:
         self.targets_by_id: dict[str, Target] = {}
         self.targets_by_service: dict[str, list[Target]] = {}
         self.evacuated_domains: set[str] = set()
+        self.marks = NO_MARKS
+        # What a process that has just started does not know yet of what is out of service.
+        self.unlisted_exclusions = {Exclusion.EVACUATIONS, Exclusion.MARKS}
         self._removal_times_by_id: dict[str, float] = {}
 
     def usable_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service outside evacuated failure domains."""
+        """Return the targets of a service that no evacuation and no mark takes out of service."""
         targets = self.targets_by_service.get(service, [])
-        if not self.evacuated_domains:
+        if not self.evacuated_domains and not self.marks:
             return targets
-        return [t for t in targets if t.entry.failure_domain not in self.evacuated_domains]
+        excluded_domains = self.evacuated_domains | self.marks.failure_domains
+        return [
+            target
+            for target in targets
+            if target.entry.failure_domain not in excluded_domains
+            and target.entry.id not in self.marks.targets
+        ]
 
     def is_serving(self, target_id: str) -> bool:
         """Return whether a target is known and not draining."""
@@ -83,6 +108,15 @@
             self._discard(target_id)
         return due_ids
 
+    @property
+    def knows_exclusions(self) -> bool:
+        """Whether it is known which targets are out of service.
+
+        Before that, a process that restarted while one of the lists failed could send to targets
+        that others have stopped using.
+        """
+        return not self.unlisted_exclusions
+
     @property
     def next_removal_at(self) -> float | None:
         """Time of the next delayed removal, None if there is none."""
--- a/flamingostack/gateway/picture.py
+++ b/flamingostack/gateway/picture.py
@@ -7,6 +7,8 @@
 
 from ..errors import Failure
 from ..platform import decode
+from .directory import Exclusion
+from .marks import Marks, collect_marks, is_mark
 from .model import StoredRecord
 from .relay import PeerClient
 from .state import Gateway
@@ -137,6 +139,7 @@
 
     def apply_list(self, records: list[StoredRecord], had_recent_outage: bool) -> None:
         """Replace the set of evacuated failure domains by the listed ones."""
+        self.gateway.directory.unlisted_exclusions.discard(Exclusion.EVACUATIONS)
         self.set_evacuated_domains({record.name for record in records})
 
     def apply_changes(self, records: list[StoredRecord], had_recent_outage: bool) -> None:
@@ -162,19 +165,22 @@
 
 
 class InstanceUpdater:
-    """Tracks the instances that share the fleet-wide limits, and the addresses of the peers."""
+    """Tracks the instances that share the fleet-wide limits, the peers, and operators' marks."""
 
-    __slots__ = ("gateway", "peers")
+    __slots__ = ("gateway", "peers", "mark_names")
 
     def __init__(self, gateway: Gateway, peers: PeerClient) -> None:
         self.gateway = gateway
         self.peers = peers
+        self.mark_names: set[str] = set()
 
     def apply_list(self, records: list[StoredRecord], had_recent_outage: bool) -> None:
         """Replace all instances by the listed ones."""
         self.peers.addresses_by_instance.clear()
         self.peers.domains_by_instance.clear()
+        self.mark_names.clear()
         self.update_instances(set(), records)
+        self.gateway.directory.unlisted_exclusions.discard(Exclusion.MARKS)
         self.gateway.log.info("instances_listed", count=len(records))
 
     def apply_changes(self, records: list[StoredRecord], had_recent_outage: bool) -> None:
@@ -184,6 +190,9 @@
     def update_instances(self, instances: set[str], records: list[StoredRecord]) -> None:
         """Apply the records to `instances`, and divide the shared limits among the result."""
         for record in records:
+            if is_mark(record.name):
+                self.update_mark(record)
+                continue
             if record.value is None:
                 instances.discard(record.name)
                 self.peers.addresses_by_instance.pop(record.name, None)
@@ -200,3 +209,22 @@
         after = len(self.gateway.instances)
         if after != before:
             self.gateway.log.info("instances_changed", before=before, after=after)
+        self.set_marks(collect_marks(self.mark_names))
+
+    def update_mark(self, record: StoredRecord) -> None:
+        """Add or remove the name of a mark."""
+        if record.value is None:
+            self.mark_names.discard(record.name)
+        else:
+            self.mark_names.add(record.name)
+
+    def set_marks(self, marks: Marks) -> None:
+        """Set the marks in force, and log a change."""
+        directory = self.gateway.directory
+        if marks != directory.marks:
+            self.gateway.log.info(
+                "marks_changed",
+                before=directory.marks.list_names(),
+                after=marks.list_names(),
+            )
+            directory.marks = marks
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -172,7 +172,7 @@
     refusal = check_limits(gateway, request)
     if refusal is not None:
         return refuse_request(gateway, request_id, *refusal)
-    if gateway.routes is None:
+    if not gateway.knows_state:
         return refuse_request(gateway, request_id, 503, "no_configuration", NOT_READY_RETRY_AFTER_S)
     host, path = messages.split_target(request.raw_path, request.headers.get("Host", ""))
     route = gateway.routes.find(host, path)
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -192,7 +192,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether this instance can serve callers."""
-        return self.routes is not None and bool(self.directory.targets_by_id)
+        return self.knows_state and bool(self.directory.targets_by_id)
+
+    @property
+    def knows_state(self) -> bool:
+        """Whether it is known how to route requests, and which targets are out of service."""
+        return self.routes is not None and self.directory.knows_exclusions
 
     async def wait_after_pause(self) -> None:
         """Wait until the state is up to date again, if the process stood still."""
--- a/flamingostack/gateway/status.py
+++ b/flamingostack/gateway/status.py
@@ -18,10 +18,11 @@
     """What one instance serves with, and how fresh it is; times are in seconds.
 
     `version` is that of the configuration in force, None before the first one. `phase` is one of
-    "serving", "notice" and "finishing". `confirmed_age_s` is the time since the store last
-    confirmed the state, None if it never did; `sources` are the instances that are followed, empty
-    if this one watches the store. `requests` counts the last window of the
-    budget for extra sends; `paused_targets` get nothing at present, after failures.
+    "serving", "notice" and "finishing". `requests` counts the last window of the budget for extra
+    sends. `confirmed_age_s` is the time since the store last confirmed the state, None if it never
+    did; `sources` are the instances that are followed, empty if this one watches the store.
+    `paused_targets` get nothing at present, after failures. `marks` are those in force, such as
+    "target i-1".
     """
 
     instance: str
@@ -39,6 +40,7 @@
     draining_targets: int
     paused_targets: int
     evacuated_domains: list[str]
+    marks: list[str]
     revisions_by_kind: dict[str, int | None]
 
 
@@ -65,5 +67,6 @@
         draining_targets=sum(target.entry.is_draining for target in targets),
         paused_targets=sum(now < target.paused_until for target in targets),
         evacuated_domains=sorted(gateway.directory.evacuated_domains),
+        marks=gateway.directory.marks.list_names(),
         revisions_by_kind={kind: feed.revision for kind, feed in feeds_by_kind.items()},
     )
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -32,6 +32,8 @@
         self.is_down = False
         # Calls never get a response.
         self.is_silent = False
+        # Kinds whose calls are refused.
+        self.refused_kinds: set[str] = set()
         # Delay of each call in seconds.
         self.delay_s = 0.0
         # Share of the calls that are applied but whose connection is reset before the response.
@@ -116,6 +118,8 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         kind, _, name = request.path.removeprefix("/-/objects/").partition("/")
+        if kind in self.refused_kinds:
+            return web.Response(status=503)
         match request.method:
             case "GET" if "watch" in request.query:
                 return await self._watch(request, kind)
--- a/tests/cli/test_gateways.py
+++ b/tests/cli/test_gateways.py
@@ -1,4 +1,4 @@
-"""Tests of `flamingostack status --gateway`, with gateways in the event loop of the test."""
+"""Tests of the commands for gateways, which run in the event loop of the test."""
 
 from tests.cli.fakes import CommandTest
 from tests.gateway.fakes import HOST, FakeTarget, GatewayCase, make_configuration, make_route
@@ -20,8 +20,8 @@
 """
 
 
-class GatewayStatusTest(GatewayCase, CommandTest):
-    """Guards against an instance that lags, is gone or is unknown without an operator seeing it."""
+class GatewayCommandTest(GatewayCase, CommandTest):
+    """Base of tests that run a command against gateways and their store."""
 
     async def start(self):
         running = await self.start_gateway({"one": [FakeTarget()]}, [ROUTE])
@@ -36,6 +36,10 @@
         file = self.write_file((settings or self.settings).encode())
         return await self.run_command("status", "--gateway", file, *args)
 
+
+class GatewayStatusTest(GatewayCommandTest):
+    """Guards against an instance that lags, is gone or is unknown without an operator seeing it."""
+
     async def test_fleet_that_has_confirmed_the_version(self):
         await self.start()
         result = await self.run_status("--json")
@@ -81,3 +85,46 @@
         result = await self.run_status(settings="nodeName=x\n")
         self.assertEqual(result.status, 3)
         self.assertIn("missing key 'platform.address'", result.stderr)
+
+
+class GatewayMarkTest(GatewayCommandTest):
+    """Guards against a mark that is reported as in force before every gateway has applied it."""
+
+    async def run_mark(self, *args: str):
+        file = self.write_file(self.settings.encode())
+        return await self.run_command("mark", *args, "--gateway", file)
+
+    async def test_target_leaves_and_is_cleared(self):
+        running = await self.start()
+        (target_id,) = running.gateway.directory.targets_by_id
+        result = await self.run_mark("target", target_id, "leaving")
+        self.assertEqual(result.status, 0, result.stderr)
+        self.assertIn("in force everywhere", result.stdout)
+        self.assertIn("warning: no target of one is left in service", result.stdout)
+        self.assertEqual(running.gateway.directory.usable_targets("one"), [])
+        self.assertIn(f"leaving: target {target_id}", (await self.run_status()).stdout)
+        result = await self.run_mark("target", target_id, "clear")
+        self.assertEqual(result.status, 0, result.stdout)
+        self.assertEqual(len(running.gateway.directory.usable_targets("one")), 1)
+
+    async def test_gateway_that_does_not_answer_is_named(self):
+        await self.start()
+        self.register("front-a-2", f"{HOST}:1")
+        result = await self.run_mark("failure-domain", "x", "leaving", "--timeout", "1")
+        self.assertEqual(result.status, 6, result.stderr)
+        self.assertIn("not yet confirmed by front-a-2", result.stdout)
+        self.assertIn("warning: no target has this failure-domain now", result.stdout)
+
+    async def test_mark_repeated_after_a_lost_answer(self):
+        running = await self.start()
+        (target_id,) = running.gateway.directory.targets_by_id
+        self.store.lost_share = 1.0
+        result = await self.run_mark("target", target_id, "leaving")
+        self.assertEqual(result.status, 8, result.stdout)
+        self.store.lost_share = 0.0
+        result = await self.run_mark("target", target_id, "leaving")
+        self.assertEqual(result.status, 0, result.stderr)
+
+    async def test_returning_is_refused(self):
+        await self.start()
+        self.assertEqual((await self.run_mark("target", "t", "returning")).status, 2)
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -54,6 +54,23 @@
         lists = [call for call in self.store.calls if "watch" not in call]
         self.assertEqual({"allowStale" in call for call in lists}, {True})
 
+    async def test_restarted_instance_sends_nothing_before_it_knows_what_is_out_of_service(self):
+        await self.start()
+        self.store.put("evacuations", "a", {})
+        self.store.refused_kinds = {"evacuations"}
+        restarted = RunningGateway(self.store, instance="front-a-2")
+        await restarted.start()
+        self.addAsyncCleanup(restarted.stop)
+        await wait_until(lambda: len(restarted.gateway.directory.targets_by_id) == 2)
+        await wait_until(lambda: restarted.gateway.routes is not None)
+        self.assertFalse(restarted.gateway.is_ready)
+        status, headers, _ = await restarted.get("/one/x")
+        self.assertEqual((status, "Retry-After" in headers), (503, True))
+        self.store.refused_kinds = set()
+        await wait_until(lambda: restarted.gateway.is_ready)
+        await restarted.get("/one/x")
+        self.assertEqual([len(target.requests) for target in self.targets], [0, 0])
+
     async def test_later_list_is_never_stale(self):
         running = await self.start()
         await self.settle()
@@ -110,6 +127,32 @@
         await wait_until(lambda: usable_targets("one"))
         self.assertEqual((await running.get("/one/x"))[0], 200)
 
+    async def test_marked_targets_and_failure_domains_get_nothing(self):
+        running = await self.start(2)
+        first, second = self.targets
+        usable_targets = running.gateway.directory.usable_targets
+        instance_count = len(running.gateway.instances)
+        self.store.put("flamingostack-instances", f"mark.target.{first.id}", {})
+        await wait_until(lambda: [t.entry.id for t in usable_targets("one")] == [second.id])
+        self.assertEqual((await running.get("/one/x"))[2], second.record)
+        self.store.put("flamingostack-instances", "mark.failure-domain.a", {})
+        self.store.put("flamingostack-instances", "mark.unknown.a", "odd")
+        await wait_until(lambda: not usable_targets("one"))
+        self.assertEqual(len(running.gateway.instances), instance_count)
+        self.store.delete("flamingostack-instances", "mark.failure-domain.a")
+        self.store.delete("flamingostack-instances", f"mark.target.{first.id}")
+        await wait_until(lambda: len(usable_targets("one")) == 2)
+
+    async def test_mark_outlasts_a_restart_beside_a_stale_list(self):
+        await self.start(1)
+        self.store.freeze_stale_lists()
+        (target,) = self.targets
+        self.store.put("flamingostack-instances", f"mark.target.{target.id}", {})
+        restarted = RunningGateway(self.store, instance="front-a-2")
+        await restarted.start()
+        self.addAsyncCleanup(restarted.stop)
+        await wait_until(lambda: not restarted.gateway.directory.usable_targets("one"))
+
     async def test_entry_of_another_writer_hurts_no_other(self):
         running = await self.start()
         self.store.put("servers", "i-bad", {"service": 5})
