Write a report with plots from the logs of gateways

Cause: explain tells the story of one request. Whether many failed, since when, at which targets and whether the budget for extra sends was spent, had to be counted by hand from the logs.

Ruled out: a plot library of the browser; the page has to open without a network.

Change: flamingostack report LOG... -o PAGE reads the logs once, plain or gzip, keeps one record for each second, and writes a page with SVG plots and tables.

--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -195,6 +195,15 @@
     options: Options
 
 
+@dataclass(frozen=True, slots=True)
+class WriteReport:
+    """Arguments of `report`."""
+
+    logs: tuple[str, ...]
+    output: str
+    options: Options
+
+
 @dataclass(frozen=True, slots=True)
 class CheckSettings:
     """Arguments of `settings check`; the file is a gateway's if `is_gateway`."""
@@ -213,6 +222,7 @@
     | ShowStatus
     | SendQuery
     | ExplainRequest
+    | WriteReport
     | CheckSettings
 )
 
@@ -230,6 +240,7 @@
     app.command(show_status, name="status")
     app.command(send_query, name="query")
     app.command(explain_request, name="explain")
+    app.command(write_report, name="report")
     return app
 
 
@@ -397,6 +408,15 @@
     return ExplainRequest(request_id, logs, entry, dispatch_status, options)
 
 
+def write_report(
+    *logs: LogArgument,
+    output: Annotated[str, Parameter(name=("--output", "-o"), help="File of the page.")],
+    options: Options = DEFAULT_OPTIONS,
+) -> Command:
+    """Write a page with plots of a fleet of gateways over a span of time, from their logs."""
+    return WriteReport(logs, output, options)
+
+
 def check_settings(
     file: FileArgument,
     /,
--- a/flamingostack/cli/logs.py
+++ b/flamingostack/cli/logs.py
@@ -37,7 +37,7 @@
     TARGET_EVENTS
     | STORE_EVENTS
     | SOURCE_EVENTS
-    | {"started", "stopping", "configuration_applied", "evacuations_changed"}
+    | {"started", "stopping", "configuration_applied", "evacuations_changed", "marks_changed"}
 )
 SEND_HEADER = ("TIME", "EVENT", "SERVICE", "TARGET", "DETAIL")
 # Keys of an event that its line of the story shows elsewhere, or that all events share.
--- a/flamingostack/core.py
+++ b/flamingostack/core.py
@@ -26,6 +26,7 @@
     ShowPreset,
     ShowStatus,
     UsePreset,
+    WriteReport,
     make_app,
 )
 from .cli.environment import CommandEnvironment, make_command_environment
@@ -35,6 +36,7 @@
 from .cli.marks import set_gateway_mark
 from .cli.output import Outcome, make_error, write_outcome
 from .cli.presets import check_preset, check_settings, list_presets, show_preset
+from .cli.report import write_report
 from .cli.requests import explain_request, send_query
 from .status import ExitStatus
 
@@ -96,6 +98,8 @@
     match command:
         case CheckPreset() | CheckSettings():
             return None
+        case WriteReport(logs=logs):
+            return None if logs else make_error(ExitStatus.USAGE, "usage", "name a log, or -")
         case ExplainRequest(logs=logs) if logs:
             return None
         case ShowStatus(gateway=gateway) | SetMark(gateway=gateway) if gateway:
@@ -143,6 +147,8 @@
             return await send_query(command, client, environment)
         case ExplainRequest(logs=logs) if logs:
             return explain_from_logs(command, environment)
+        case WriteReport():
+            return write_report(command, environment)
         case ExplainRequest():
             return await explain_request(command, client)
 
