Lead with a demo of the gateway fleet

Cause: make demo started the three processes that no user of the platform runs; a newcomer saw nothing of the gateways and of the commands for them.

Change: make demo starts the soak's fleet and runs status, a query, mark, an evacuation, a killed process, a hanging shard with explain, and report, each as an operator would; it checks all answers and ends by itself. The old demo is make demo-fleet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test lint format generate demo measure soak fuzz clean
+.PHONY: setup test lint format generate demo demo-fleet measure soak fuzz clean
 
 setup: $(STAMP)
 
@@ -29,7 +29,12 @@
 		--grpclib_python_out=. schema/flamingostack/generated/messages.proto
 	$(BIN)/python schema/generate_settings.py
 
+# make demo, make demo KEEP=1
 demo: setup
+	$(BIN)/python -m soak.demo $(if $(KEEP),--keep)
+
+# The three processes of the product's own deployment.
+demo-fleet: setup
 	$(BIN)/python -m standins.demo
 
 measure: setup
