--- a/flamingostack/cli/logs.py
+++ b/flamingostack/cli/logs.py
@@ -10,7 +10,7 @@
 import gzip
 import re
 import zlib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import BinaryIO
 
@@ -86,16 +86,13 @@
 def explain_from_logs(command: ExplainRequest, environment: CommandEnvironment) -> Outcome:
     """Return the story of a request from the logs that the command names."""
     stories_by_instance: dict[str, RequestStory] = {}
-    for file in command.logs:
-        lines = open_log(file, environment)
-        if isinstance(lines, Failure):
-            return make_error(ExitStatus.INVALID_INPUT, lines.reason.code, lines.message)
-        try:
-            with lines:
-                collect_stories(command.request_id, lines, stories_by_instance)
-        except (OSError, EOFError, zlib.error) as error:
-            message = f"{get_display_name(file)}: {error}"
-            return make_error(ExitStatus.INVALID_INPUT, FileReason.UNREADABLE.code, message)
+    error = read_logs(
+        command.logs,
+        environment,
+        lambda stream: collect_stories(command.request_id, stream, stories_by_instance),
+    )
+    if error is not None:
+        return error
     if not stories_by_instance:
         message = (
             f"request {command.request_id!r} is in none of the {len(command.logs)} logs: it never"
@@ -112,6 +109,23 @@
     return Outcome(ExitStatus.SUCCESS, text, data)
 
 
+def read_logs(
+    files: Iterable[str], environment: CommandEnvironment, read: Callable[[BinaryIO], None]
+) -> Outcome | None:
+    """Call `read` with the stream of each log; return an error if one cannot be read to its end."""
+    for file in files:
+        stream = open_log(file, environment)
+        if isinstance(stream, Failure):
+            return make_error(ExitStatus.INVALID_INPUT, stream.reason.code, stream.message)
+        try:
+            with stream:
+                read(stream)
+        except (OSError, EOFError, zlib.error) as error:
+            message = f"{get_display_name(file)}: {error}"
+            return make_error(ExitStatus.INVALID_INPUT, FileReason.UNREADABLE.code, message)
+    return None
+
+
 def open_log(file: str, environment: CommandEnvironment) -> BinaryIO | Failure[FileReason]:
     """Open a log, compressed or not, as a stream of lines."""
     if file == STANDARD_INPUT:
--- a/flamingostack/cli/report.py
+++ b/flamingostack/cli/report.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import html
-import zlib
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -17,12 +16,10 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ..errors import Failure
 from ..status import ExitStatus
 from .definition import WriteReport
 from .environment import CommandEnvironment
-from .files import FileReason, get_display_name
-from .logs import Event, open_log, parse_line, read_lines
+from .logs import Event, parse_line, read_lines, read_logs
 from .output import Outcome, make_error
 
 MAX_LATENCY_MS = 600_000
@@ -101,17 +98,9 @@
 def write_report(command: WriteReport, environment: CommandEnvironment) -> Outcome:
     """Read the logs that the command names, and write the report to its file."""
     summary = Summary()
-    for file in command.logs:
-        lines = open_log(file, environment)
-        if isinstance(lines, Failure):
-            return make_error(ExitStatus.INVALID_INPUT, lines.reason.code, lines.message)
-        try:
-            with lines:
-                for event in read_events(lines):
-                    add_event(summary, event)
-        except (OSError, EOFError, zlib.error) as error:
-            message = f"{get_display_name(file)}: {error}"
-            return make_error(ExitStatus.INVALID_INPUT, FileReason.UNREADABLE.code, message)
+    error = read_logs(command.logs, environment, lambda stream: add_log(summary, stream))
+    if error is not None:
+        return error
     if not summary.seconds:
         message = f"none of the {len(command.logs)} logs has lines of gateways about requests"
         return make_error(ExitStatus.NOT_FOUND, "unknown", message)
@@ -130,6 +119,12 @@
     return Outcome(ExitStatus.SUCCESS, f"{command.output}: {describe_totals(summary)}", data)
 
 
+def add_log(summary: Summary, stream: BinaryIO) -> None:
+    """Add all lines of a log to the summary."""
+    for event in read_events(stream):
+        add_event(summary, event)
+
+
 def read_events(stream: BinaryIO) -> Iterator[Event]:
     """Yield the events of a log that the report shows, and that have an instance and a time."""
     for line in read_lines(stream):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,17 +1,13 @@
 """Tests of the soak: its exit status, a short run, and seeds that have failed before."""
 
-import asyncio
-import os
-import sys
 import unittest
-from pathlib import Path
 from unittest import mock
 
 from soak import __main__ as soak_main
 
-ROOT = Path(__file__).resolve().parents[2]
+from .support import run_module
+
 SHORT_RUN_S = 6
-TIMEOUT_S = 60
 SEEDS = (1,)
 HOSTILE_SEEDS = (3,)
 LONG_RUN_S = 14
@@ -35,21 +31,10 @@
     async def run_seed(
         self, seed: int, duration_s: int = SHORT_RUN_S, *options: str, **variables: str
     ) -> None:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *("-m", "soak", "--seed", str(seed), "--duration-s", str(duration_s), *options),
-            cwd=ROOT,
-            env=os.environ | variables,
-            stdout=asyncio.subprocess.PIPE,
+        status, text = await run_module(
+            *("soak", "--seed", str(seed), "--duration-s", str(duration_s), *options), **variables
         )
-        try:
-            async with asyncio.timeout(TIMEOUT_S):
-                output, _ = await process.communicate()
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-        self.assertEqual(process.returncode, 0, output.decode())
+        self.assertEqual(status, 0, text)
 
     async def test_short_run_keeps_all_promises(self):
         for seed in SEEDS:
