Let the demo's instance hang until its state was shown

Cause: tests.soak.test_demo failed once, and the demo in 4 of its first 5 runs beside load: the killed process was back before the status command had started, so the command ended with status 0 in place of 6.

Ruled out: wrong answers; all runs that failed ended with 0 problems besides this step.

Change: the process is suspended, shown, and then killed; the demo waits until it is ready again. A target of the soak that could not listen no longer fails a second time when it is stopped.

--- a/soak/demo.py
+++ b/soak/demo.py
@@ -9,6 +9,7 @@
 import asyncio
 import shlex
 import shutil
+import signal
 import sys
 import time
 from pathlib import Path
@@ -20,8 +21,10 @@
 
 from .callers import Caller
 from .checks import find_violations
+from .faults import RECOVERY_SLACK_S
+from .instances import RESTART_DELAY_S
 from .ledger import Outcome
-from .world import Environment
+from .world import START_TIMEOUT_S, Environment, make_process_key
 
 OUTPUT_FOLDER = Path("out/demo")
 # A seed whose fleet has followers: one failure domain of six instances.
@@ -29,8 +32,6 @@
 SLOT = 99
 # In two and a half seconds the callers send some hundred requests.
 LOAD_S = 2.5
-# How long an operator waits for a killed process: it restarts after 0.3 s and is ready in a second.
-RESTART_S = 2.5
 # Time after which all requests have to be served again.
 RECOVERY_S = 3.0
 
@@ -89,15 +90,26 @@
         change.reverted_at = self.environment.now()
 
     async def kill_instance(self) -> None:
-        """Kill the process of an instance; it restarts by itself."""
+        """Suspend the process of an instance, and kill it; it restarts by itself."""
         instance = self.environment.instances[-1]
-        say(f"The process of {instance.name} is killed")
-        instance.kill()
-        await asyncio.sleep(0.1)
+        say(f"The process of {instance.name} hangs, and is killed")
+        names = [instance.name, make_process_key(instance.name)]
+        intervals = self.environment.ledger.record_fault_start(names, self.environment.now())
+        instance.send_signal(signal.SIGSTOP)
         await self.operate("status", "--gateway", self.settings_file, expected=6)
-        await asyncio.sleep(RESTART_S)
+        instance.kill()
+        await asyncio.sleep(RESTART_DELAY_S)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self.environment.is_ready(instance):  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+        self.end_faults(intervals)
         await self.operate("status", "--gateway", self.settings_file)
 
+    def end_faults(self, intervals: list[list[float]]) -> None:
+        """Record that faults have ended; requests then in flight may still suffer from them."""
+        for interval in intervals:
+            interval[1] = self.environment.now() + RECOVERY_SLACK_S
+
     async def lose_shard(self) -> None:
         """Let all targets of a shard fail, and explain a query that lacks it."""
         say("All targets of shard s3 hang: answers lack it, and say so")
@@ -112,8 +124,7 @@
         show_answer(answer)
         for target in broken:
             target.fault = ""
-        for interval in intervals:
-            interval[1] = self.environment.now() + 1
+        self.end_faults(intervals)
         await asyncio.sleep(RECOVERY_S)
         self.environment.recovery_check_from = self.environment.now()
         await asyncio.sleep(LOAD_S)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -60,6 +60,8 @@
         self.running = 0
         self.waiting = 0
         self._slots = asyncio.Semaphore(SLOTS)
+        # None until the target listens; a failed start is reported as what it is.
+        self._listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -70,8 +72,9 @@
 
     async def stop(self) -> None:
         """Stop like a crash: close the listener and all connections at once."""
-        self._listener.close()
-        await self.server.shutdown(0.0)
+        if self._listener is not None:
+            self._listener.close()
+            await self.server.shutdown(0.0)
 
     def make_entry(self, address: str, now: float) -> dict:
         """Return the entry by which the target registers in the store."""
