End a response that has begun and stalls, and fuzz the store and instances

Cause: make fuzz with a hostile store and instance (new profile hostile-store), seed 31: an instance answered 404 to a route for 8.6 s after its version was stored. Its log shows one watch whose response had begun and stalled; a watch may wait 8 s for its response, and the limit of the call was that and 1.5 s, also for a response on its way. Other feeds saw no loss meanwhile.

Ruled out: the faults that were still in force; the store's had ended 2.5 s before, and the watch outlasted it.

Change: once the head of a response has arrived, the rest has 1.5 s from the store and 0.5 s from another instance.

Conclusion: interim responses without end from the store still take the whole time of a call.

--- a/Makefile
+++ b/Makefile
@@ -44,9 +44,9 @@
 soak: setup
 	$(BIN)/python -m soak $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
 
-# make fuzz, make fuzz SEED=7, make fuzz MINUTES=5
+# make fuzz, make fuzz SEED=7, make fuzz MINUTES=5, make fuzz PROFILE=hostile-store
 fuzz: setup
-	$(BIN)/python -m soak --hostile $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
+	$(BIN)/python -m soak --profile $(or $(PROFILE),hostile) $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
 
 clean:
 	rm -rf $(VENV) build *.egg-info out
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -156,6 +156,7 @@
             f"http://{address}{FEEDS_PATH}?wait_ms={int(wait_s * MS_PER_S)}&{query}",
             timeout_s=wait_s + PEER_TIMEOUT_S,
             connect_s=PEER_TIMEOUT_S,
+            body_s=PEER_TIMEOUT_S,
         )
         # A failure is not logged here; the caller decides how to handle it.
         if isinstance(response, StoreFailure) or response.status != 200:
--- a/flamingostack/platform/objects.py
+++ b/flamingostack/platform/objects.py
@@ -157,7 +157,14 @@
         headers = {"Content-Type": "application/json"} if body is not None else None
         data = json.dumps(body).encode() if body is not None else None
         return await send_request(
-            self._session, method, url, timeout_s, CALL_TIMEOUT_S, headers=headers, data=data
+            self._session,
+            method,
+            url,
+            timeout_s,
+            connect_s=CALL_TIMEOUT_S,
+            body_s=CALL_TIMEOUT_S,
+            headers=headers,
+            data=data,
         )
 
 
--- a/flamingostack/store.py
+++ b/flamingostack/store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import json
@@ -234,12 +235,16 @@
     timeout_s: float,
     connect_s: float,
     *,
+    body_s: float | None = None,
     params: dict[str, str] | None = None,
     headers: dict[str, str] | None = None,
     data: bytes | None = None,
 ) -> Response | StoreFailure:
     """Send one request and return the response, whatever its status.
 
+    `timeout_s` limits the whole call, `connect_s` opening the connection, and `body_s` the response
+    once its head has arrived: a watch may wait long for a response, but one that does not end would
+    leave later changes unnoticed for all of that time.
     UNAVAILABLE: nothing was sent. OUTCOME_UNKNOWN: the request may have been executed.
     """
     import aiohttp
@@ -255,7 +260,8 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await read_body(response)
+            async with asyncio.timeout(body_s):
+                body = await read_body(response)
             if body is None:
                 message = f"{url}: response exceeds {MAX_RESPONSE_BYTES} bytes"
                 return StoreFailure(StoreReason.OUTCOME_UNKNOWN, message)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,12 +7,12 @@
 import sys
 import time
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import cyclopts
 
 from .checks import find_violations
-from .faults import FAULTS, HOSTILE_FAULTS, run_faults
+from .faults import FAULTS_BY_PROFILE, run_faults
 from .world import Environment
 
 OUTPUT_FOLDER = Path("out/soak")
@@ -22,11 +22,14 @@
 # The last part of it, in which `check_recovery` requires that requests succeed.
 RECOVERY_CHECK_S = 2.5
 MAX_SEED = 1_000_000
+DEFAULT_PROFILE = "usual"
 
 app = cyclopts.App(name="soak", help="Fault soak of the gateway on one machine.")
 
 
-async def run_seed(seed: int, slot: int, duration_s: float, is_hostile: bool = False) -> list[str]:
+async def run_seed(
+    seed: int, slot: int, duration_s: float, profile: str = DEFAULT_PROFILE
+) -> list[str]:
     """Run one seed and return its violations.
 
     Writes the faults, the violations and the logs of the instances to `out/soak/<seed>/`, after
@@ -37,12 +40,14 @@
     for path in folder.iterdir():
         path.unlink()
     environment = Environment(seed, slot, folder)
-    faults = HOSTILE_FAULTS if is_hostile else FAULTS
     with (folder / "faults.log").open("w") as log:
         try:
             await environment.start()
             await run_faults(
-                environment, duration_s, lambda line: print(line, file=log, flush=True), faults
+                environment,
+                duration_s,
+                lambda line: print(line, file=log, flush=True),
+                FAULTS_BY_PROFILE[profile],
             )
             await asyncio.sleep(RECOVERY_S - RECOVERY_CHECK_S)
             environment.recovery_check_from = environment.now()
@@ -64,7 +69,7 @@
     return violations
 
 
-async def run_seeds(seeds: list[int], jobs: int, duration_s: float, is_hostile: bool) -> int:
+async def run_seeds(seeds: list[int], jobs: int, duration_s: float, profile: str) -> int:
     """Run each seed in its own process, `jobs` at a time; return how many exited with an error."""
     remaining = list(reversed(seeds))
     failed = 0
@@ -76,7 +81,7 @@
                 sys.executable,
                 *("-m", "soak", "--seed", str(remaining.pop()), "--slot", str(slot)),
                 *("--duration-s", str(duration_s)),
-                *(("--hostile",) if is_hostile else ()),
+                *("--profile", profile),
             )
             failed += bool(await process.wait())
 
@@ -95,19 +100,20 @@
     duration_s: Annotated[float, cyclopts.Parameter(help="time with faults in each seed")] = 14.0,
     jobs: Annotated[int, cyclopts.Parameter(help="seeds to run at the same time")] = 2,
     slot: Annotated[int, cyclopts.Parameter(help="address range of this run, 0 to 99")] = 0,
-    hostile: Annotated[
-        bool, cyclopts.Parameter(negative="", help="targets and callers that send hostile bytes")
-    ] = False,
+    profile: Annotated[
+        Literal["usual", "hostile", "hostile-store"],
+        cyclopts.Parameter(help="which faults: the usual ones, or peers that send hostile bytes"),
+    ] = DEFAULT_PROFILE,
 ) -> None:
     """Run seeds; exit with status 1 if there was a violation."""
     if seed is not None:
-        sys.exit(int(bool(asyncio.run(run_seed(seed, slot, duration_s, hostile)))))
+        sys.exit(int(bool(asyncio.run(run_seed(seed, slot, duration_s, profile)))))
     if minutes is not None:
         per_seed_s = duration_s + RECOVERY_S + 8
         count = max(int(minutes * 60 / per_seed_s * jobs), 1)
     rng = random.Random(time.time_ns())
     seeds = [rng.randrange(MAX_SEED) for _ in range(count)]
-    failed = asyncio.run(run_seeds(seeds, jobs, duration_s, hostile))
+    failed = asyncio.run(run_seeds(seeds, jobs, duration_s, profile))
     print(f"{count - failed} passed, {failed} failed")
     sys.exit(int(failed > 0))
 
--- a/soak/demo.py
+++ b/soak/demo.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import shlex
 import shutil
 import signal
@@ -29,7 +30,8 @@
 OUTPUT_FOLDER = Path("out/demo")
 # A seed whose fleet has followers: one failure domain of six instances.
 SEED = 6
-SLOT = 99
+# Address ranges; runs at the same time need different ones.
+SLOTS = 100
 # In two and a half seconds the callers send some hundred requests.
 LOAD_S = 2.5
 # Time after which all requests have to be served again.
@@ -167,7 +169,7 @@
 
 async def run_demo(is_kept: bool) -> int:
     """Run the demo; return how many steps and answers were wrong."""
-    environment = Environment(SEED, SLOT, OUTPUT_FOLDER)
+    environment = Environment(SEED, os.getpid() % SLOTS, OUTPUT_FOLDER)
     demo = Demo(environment)
     started = time.monotonic()
     try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,9 +11,11 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from standins.hostile import HOST as HOSTILE_HOST
+from standins.hostile import HostileTarget
 from standins.proxy import DIRECTIONS, Listener, inject_fault
 
-from .hostile import HostileCaller
+from .hostile import HostileCaller, make_disturbed_answer, play_answer
 from .instances import RESTART_DELAY_S, Instance
 from .targets import SoakTarget
 from .world import DOMAINS, SERVICES, Environment, make_process_key
@@ -173,6 +175,38 @@
     return f"{len(callers)} hostile callers"
 
 
+async def hostile_store(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Answer half of the calls to the store with hostile bytes."""
+    names = [instance.name for instance in environment.instances]
+
+    async def disturb(transport: asyncio.Transport, body: bytes) -> None:
+        if rng.random() < 0.5:
+            await play_answer(transport, {"Content-Type": "application/json"}, body, rng)
+
+    environment.store.disturb = disturb
+    try:
+        await record_fault(environment, names, seconds)
+    finally:
+        environment.store.disturb = None
+    return "hostile store"
+
+
+async def hostile_instance(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Register an instance whose answers to the polls of others are hostile bytes."""
+    name = f"hostile-{rng.randrange(1000)}"
+    peer = HostileTarget(lambda _: make_disturbed_answer({}, b"{}\n", rng))
+    await peer.start()
+    address = f"{HOSTILE_HOST}:{peer.port}"
+    entry = {"failure_domain": rng.choice(DOMAINS), "address": address}
+    environment.store.put("flamingostack-instances", name, entry)
+    try:
+        await asyncio.sleep(seconds)
+    finally:
+        environment.store.delete("flamingostack-instances", name)
+        await peer.stop()
+    return f"{name} in {entry['failure_domain']}, polled {len(peer.request_ids)} times"
+
+
 async def cold_restart(environment: Environment, rng: random.Random, seconds: float) -> str:
     """Crash a target and start a cold one with a new ID at its address."""
     old = rng.choice([t for t in environment.targets if not t.is_draining])
@@ -313,15 +347,29 @@
     freeze,
     reload,
 )
-# Faults of `make fuzz`. They are kept apart, since a seed of the soak has to repeat its faults.
-HOSTILE_FAULTS: tuple[Fault, ...] = (
-    hostile_targets,
-    hostile_targets,
-    hostile_callers,
-    hostile_callers,
-    configurations,
-    terminate,
-)
+# Faults by the name of a profile. Each has a tuple of its own, which is only ever extended by a new
+# profile, since a seed has to repeat its faults.
+FAULTS_BY_PROFILE: dict[str, tuple[Fault, ...]] = {
+    "usual": FAULTS,
+    "hostile": (
+        hostile_targets,
+        hostile_targets,
+        hostile_callers,
+        hostile_callers,
+        configurations,
+        terminate,
+    ),
+    "hostile-store": (
+        hostile_targets,
+        hostile_targets,
+        hostile_callers,
+        hostile_callers,
+        hostile_store,
+        hostile_instance,
+        configurations,
+        terminate,
+    ),
+}
 
 
 async def run_faults(
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -34,6 +35,9 @@
         self.is_silent = False
         # Kinds whose calls are refused.
         self.refused_kinds: set[str] = set()
+        # Answers a call on its connection with the bytes of a response, in a wrong way; None if all
+        # responses are sound.
+        self.disturb: Callable[[asyncio.Transport, bytes], Awaitable[None]] | None = None
         # Delay of each call in seconds.
         self.delay_s = 0.0
         # Share of the calls that are applied but whose connection is reset before the response.
@@ -114,6 +118,8 @@
         answer = await self._answer(request)
         if self.random.random() < self.lost_share and request.transport is not None:
             request.transport.abort()
+        if self.disturb is not None and request.transport is not None and answer.body:
+            await self.disturb(request.transport, answer.body)
         return answer
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -1,12 +1,15 @@
 """Tests of flamingostack.platform.objects."""
 
+import asyncio
 import unittest
 
-from flamingostack.platform.objects import ObjectStore
+from flamingostack.platform.objects import CALL_TIMEOUT_S, ObjectStore
 from flamingostack.store import MAX_RESPONSE_BYTES, StoreFailure, StoreReason
-from standins.hostile import HOST, HostileTarget, Step, Write, WriteEndlessly
+from standins.hostile import HOST, HostileTarget, Stall, Step, Write, WriteEndlessly
 from tests.gateway.fakes import FakeObjectStore
 
+WATCH_S = 8.0
+
 
 class ObjectStoreTest(unittest.IsolatedAsyncioTestCase):
     """Guards against missed changes, and against writes whose result is reported wrongly."""
@@ -82,3 +85,15 @@
 
     async def test_head(self):
         await self.check_endless(b"HTTP/1.1 200 OK\r\nX: ")
+
+    async def test_response_of_a_watch_that_does_not_end(self):
+        # It arrives only after the wait, so a stalled one would look like a store without changes.
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"
+        hostile = HostileTarget(lambda _: [Write(head), Stall(WATCH_S)])
+        await hostile.start()
+        self.addAsyncCleanup(hostile.stop)
+        store = ObjectStore(f"http://{HOST}:{hostile.port}")
+        self.addAsyncCleanup(store.close)
+        async with asyncio.timeout(CALL_TIMEOUT_S + 1.0):
+            result = await store.watch("kind", 1, WATCH_S)
+        self.assertIs(result.reason, StoreReason.OUTCOME_UNKNOWN)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak: its exit status, a short run, and seeds that have failed before."""
 
+import os
 import unittest
 from unittest import mock
 
@@ -7,6 +8,8 @@
 
 from .support import run_module
 
+# Address range of this run of the tests, so that two runs at the same time have their own.
+SLOT = str(os.getpid() % 100)
 SHORT_RUN_S = 6
 SEEDS = (1,)
 HOSTILE_SEEDS = (3,)
@@ -32,7 +35,9 @@
         self, seed: int, duration_s: int = SHORT_RUN_S, *options: str, **variables: str
     ) -> None:
         status, text = await run_module(
-            *("soak", "--seed", str(seed), "--duration-s", str(duration_s), *options), **variables
+            *("soak", "--seed", str(seed), "--slot", SLOT, "--duration-s", str(duration_s)),
+            *options,
+            **variables,
         )
         self.assertEqual(status, 0, text)
 
@@ -47,13 +52,17 @@
 
     async def test_hostile_bytes_of_targets_and_callers(self):
         for seed in HOSTILE_SEEDS:
-            await self.run_seed(seed, SHORT_RUN_S, "--hostile")
+            await self.run_seed(seed, SHORT_RUN_S, "--profile", "hostile")
 
     async def test_hostile_seed_9(self):
         # Bodies in short chunks from several targets let processes grow by 45 MiB.
-        await self.run_seed(9, LONG_RUN_S, "--hostile")
+        await self.run_seed(9, LONG_RUN_S, "--profile", "hostile")
 
     async def test_hostile_seed_212590(self):
         # Without aiohttp's C extension callers that sent without end held the loop for up to two
         # seconds, so that two stops did not end in time and cut requests.
-        await self.run_seed(212590, LONG_RUN_S, "--hostile", AIOHTTP_NO_EXTENSIONS="1")
+        await self.run_seed(212590, LONG_RUN_S, "--profile", "hostile", AIOHTTP_NO_EXTENSIONS="1")
+
+    async def test_hostile_seed_31(self):
+        # A response of a watch that had begun and stalled left an instance at its version for 8 s.
+        await self.run_seed(31, LONG_RUN_S, "--profile", "hostile-store")
