Answer what is accepted during a planned stop before the process ends

The log has requests_cut with one request running; no target saw the request and no send failed, so it waited for a silent one. Its time limit of 1.5 s ended after the time left to the process.

Ruled out: a late loop; the soak's was late by 0.13 s at most, and the process logged no pause.

Change: the deadline of a request that arrives after the signal lies before the end of the process (Gateway.answer_until), so it is answered with 504, or 503 if nothing was sent.

Before and after: the new test of a silent target at a stop failed with a cut connection and passes; tests.gateway.test_shutdown and test_main: 15 passed.

--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -153,16 +153,17 @@
 async def shut_down(gateway: Gateway, server: CallerServer, listener: Listener) -> None:
     """Report not ready, let running requests finish, and close idle connections.
 
-    Requests that are still running near the end of the grace period are aborted.
+    Requests that arrive from now on fail in time to be answered, also if their targets are silent.
+    Earlier ones that are still running near the end of the grace period are aborted.
     """
     grace_s = gateway.settings.shutdown_grace_s
     gateway.shutdown.phase = Phase.NOTICE
     gateway.log.info("stopping", running=gateway.shutdown.running, grace_s=grace_s)
     began_at = gateway.now()
+    end_at = gateway.answer_until = began_at + grace_s * (1 - EXIT_RESERVE_SHARE)
     await asyncio.sleep(min(DRAIN_NOTICE_S, grace_s / 2))
     gateway.shutdown.phase = Phase.FINISHING
     await listener.close()
-    end_at = began_at + grace_s * (1 - EXIT_RESERVE_SHARE)
     while server.connections and gateway.now() < end_at:
         for connection in server.connections:
             connection.close_if_idle()
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -336,6 +336,6 @@
         min_coverage=min_coverage,
         max_sends=route.max_sends if route.is_idempotent else 1,
         soft_deadline=caller.arrived_at + soft_deadline_s,
-        deadline=caller.arrived_at + deadline_s - ANSWER_RESERVE_S,
+        deadline=min(caller.arrived_at + deadline_s, gateway.answer_until) - ANSWER_RESERVE_S,
         may_hedge=route.is_idempotent,
     )
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import structlog
@@ -136,6 +137,7 @@
         "sender",
         "pauses",
         "shutdown",
+        "answer_until",
         "instances",
         "cold_share",
         "traffic",
@@ -175,6 +177,8 @@
         # None if the process does not watch for pauses.
         self.pauses: PauseGuard | None = None
         self.shutdown = Shutdown()
+        # When this process has to have answered what it accepts, since it is about to end.
+        self.answer_until = math.inf
         self.instances: set[str] = {settings.instance}
         self.cold_share = ColdShare(0, 1, settings.cold_overshoot, settings.cold_slack)
         self.traffic = DomainTraffic()
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -127,6 +127,23 @@
         with self.assertRaises(ClientError):
             await pending
 
+    async def test_request_accepted_after_the_signal_is_answered_though_its_target_is_silent(self):
+        async def hang(target, request):
+            await asyncio.sleep(30)
+
+        running = await self.start_gateway(
+            {"one": [FakeTarget(hang)]},
+            [make_route("one", service="one", kind="non_idempotent", timeoutMs=30_000)],
+            shutdown_grace_s=2.0,
+        )
+        stopping = asyncio.create_task(running.shut_down())
+        await asyncio.sleep(0.2)
+        headers = {"X-Deadline-Milliseconds": "30000"}
+        status, answer_headers, _ = await running.get("/one/x", method="POST", headers=headers)
+        # The request has been sent, so the answer must not say that it has not run.
+        self.assertEqual((status, "Retry-After" in answer_headers), (504, False))
+        await stopping
+
     async def test_not_ready_from_the_first_moment(self):
         running = await self.start_gateway(
             {"one": [FakeTarget()]}, [make_route("one", service="one")], shutdown_grace_s=1.0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -66,3 +66,8 @@
     async def test_hostile_seed_31(self):
         # A response of a watch that had begun and stalled left an instance at its version for 8 s.
         await self.run_seed(31, LONG_RUN_S, "--profile", "hostile-store")
+
+    async def test_seed_978272(self):
+        # A request that was accepted after SIGTERM and sent to a silent target ended without an
+        # answer, since its time limit was longer than the time left to the process.
+        await self.run_seed(978272, LONG_RUN_S)
