--- a/flamingostack/core.py
+++ b/flamingostack/core.py
@@ -15,6 +15,7 @@
 from .cli.changes import make_change
 from .cli.client import ControlClient
 from .cli.definition import (
+    ChangeOptions,
     CheckPreset,
     CheckSettings,
     Command,
@@ -78,14 +79,17 @@
 def complete_command(command: Command, environment: CommandEnvironment) -> Command:
     """Fill in missing control addresses from the environment, and a missing change id.
 
-    The id is made once for each command, so that all its attempts send the same id.
+    The id is made once for each command, so that all its attempts send the same id. A mark of
+    gateways has none.
     """
     if not command.options.control:
         variable = environment.variables.get(CONTROL_VARIABLE, "")
         control = tuple(variable.replace(",", " ").split())
         options = dataclasses.replace(command.options, control=control)
         command = dataclasses.replace(command, options=options)
-    if isinstance(command, PutPreset | UsePreset | SetMark) and command.change.change_id is None:
+    is_gateway_mark = isinstance(command, SetMark) and command.gateway
+    is_change = isinstance(command, PutPreset | UsePreset | SetMark) and not is_gateway_mark
+    if is_change and command.change.change_id is None:
         change = dataclasses.replace(command.change, change_id=environment.make_id())
         command = dataclasses.replace(command, change=change)
     return command
@@ -102,7 +106,9 @@
             return None if logs else make_error(ExitStatus.USAGE, "usage", "name a log, or -")
         case ExplainRequest(logs=logs) if logs:
             return None
-        case ShowStatus(gateway=gateway) | SetMark(gateway=gateway) if gateway:
+        case SetMark(gateway=gateway, change=change) if gateway:
+            return check_gateway_change(change)
+        case ShowStatus(gateway=gateway) if gateway:
             return None
         case SendQuery(entry=entry) if entry is not None:
             addresses.append(entry)
@@ -119,6 +125,14 @@
     return None
 
 
+def check_gateway_change(change: ChangeOptions) -> Outcome | None:
+    """Return an error for options that a change by --gateway would not heed."""
+    if change.change_id is None and change.expect_version is None:
+        return None
+    message = "--change-id and --expect-version have no meaning with --gateway"
+    return make_error(ExitStatus.USAGE, "usage", message)
+
+
 async def execute(command: Command, environment: CommandEnvironment) -> Outcome:
     """Run a command whose options are complete and whose addresses are valid."""
     client = ControlClient(
@@ -157,6 +171,8 @@
     """Return the outcome of an interrupted command; it names the change id, if there is one."""
     message = "the command was interrupted before it finished"
     match command:
+        case SetMark(gateway=gateway) if gateway:
+            message += "; the mark may have been written. Running the same command again is safe"
         case PutPreset(change=change) | UsePreset(change=change) | SetMark(change=change):
             message += (
                 "; the change may have been made. To find out, run the same command again with"
--- a/tests/cli/test_gateways.py
+++ b/tests/cli/test_gateways.py
@@ -128,3 +128,10 @@
     async def test_returning_is_refused(self):
         await self.start()
         self.assertEqual((await self.run_mark("target", "t", "returning")).status, 2)
+
+    async def test_options_that_would_not_be_heeded_are_refused(self):
+        await self.start()
+        for option in (("--change-id", "c1"), ("--expect-version", "7")):
+            result = await self.run_mark("target", "t", "leaving", *option)
+            self.assertEqual(result.status, 2, result.stdout)
+            self.assertIn("no meaning with --gateway", result.stderr)
