Tell refusals of starved instances apart in the tests of restarts

Traced by the kernel's count of waits (schedstat) at a load of 24 on 6 cores: before the 24 refusals of one run the control process of the refusing instance had no processor for 0.64 s and its entry process for 2.18 s; before 11 of another its control process for 1.51 s. The leases of these tests are 1.2 s.

Ruled out: the restarts themselves; the refusals say, truly, that the query has not run, and come only from the instance that waited.

Anything else counts, also in such a run.

--- a/tests/proofs/support.py
+++ b/tests/proofs/support.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable, Iterable
+from pathlib import Path
 from typing import Any
 
 from standins.deployments import DUMALAGAN
@@ -31,6 +32,9 @@
 IN_FORCE_WITHIN_S = 5.0
 WAIT_S = 30.0
 POLL_S = 0.02
+WAIT_LOOK_S = 0.1
+# Half of a lease.
+LONG_WAIT_S = SHORT_LEASES["lease_ms"] / 2 / 1000
 
 
 def boottime_ns() -> int:
@@ -123,6 +127,86 @@
         return [item for item in self.records if item.sent_ns > moment_ns]
 
 
+class ProcessorWaits:
+    """Watches, until the context ends, how long processes of a cluster wait for a processor.
+
+    `waits_by_instance` has for each instance the waits of LONG_WAIT_S or more that one process had
+    between two looks, by the kernel's count: the times of both looks, in ns of CLOCK_BOOTTIME.
+    """
+
+    __slots__ = ("cluster", "waits_by_instance", "_last_by_pid", "_task")
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.waits_by_instance: dict[str, list[tuple[int, int]]] = {}
+        # Time of the last look at a process and its wait so far, in seconds.
+        self._last_by_pid: dict[int, tuple[int, float]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> ProcessorWaits:
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        # The kernel counts a wait only once it has ended.
+        await asyncio.sleep(WAIT_LOOK_S)
+        self.look(boottime_ns())
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _run(self) -> None:
+        while True:
+            self.look(boottime_ns())
+            await asyncio.sleep(WAIT_LOOK_S)
+
+    def look(self, now_ns: int) -> None:
+        """Compare the waits of all running processes with those of the last look."""
+        for instance in self.cluster.instances.values():
+            for process in instance.processes.values():
+                waited_s = read_processor_wait_s(process.pid)
+                before_ns, before_s = self._last_by_pid.get(process.pid, (now_ns, waited_s))
+                if waited_s - before_s >= LONG_WAIT_S:
+                    waits = self.waits_by_instance.setdefault(instance.id, [])
+                    waits.append((before_ns, now_ns))
+                self._last_by_pid[process.pid] = (now_ns, waited_s)
+
+    def has_starved(self, record: QueryRecord) -> bool:
+        """Return whether a process of the answering instance waited long in the lease before."""
+        since_ns = record.sent_ns - SHORT_LEASES["lease_ms"] * NS_PER_MS
+        waits = self.waits_by_instance.get(record.instance, [])
+        return any(start <= record.ended_ns and end >= since_ns for start, end in waits)
+
+
+def read_processor_wait_s(pid: int) -> float:
+    """Return how long a process was ready to run without a processor, in s; 0 if it has ended.
+
+    The figures of schedstat are documented in proc(5).
+    """
+    try:
+        fields = Path(f"/proc/{pid}/schedstat").read_text().split()
+    except OSError:
+        return 0.0
+    return int(fields[1]) / NS_PER_S if len(fields) > 1 else 0.0
+
+
+def is_starved(records: Iterable[QueryRecord], waits: ProcessorWaits) -> bool:
+    """Return whether all that went wrong are refusals by instances without a processor.
+
+    An instance whose lease has ended refuses queries as not run. That is right if one of its
+    processes had no processor for LONG_WAIT_S, since two of them renew the lease.
+    """
+    failed = [item for item in records if not item.is_complete]
+    return bool(failed) and all(
+        is_refused_as_expired(item.answer) and waits.has_starved(item) for item in failed
+    )
+
+
+def is_refused_as_expired(answer: Answer) -> bool:
+    """Return whether an answer says that the query has not run since the lease had ended."""
+    return (answer.body.get("code"), answer.body.get("ran")) == ("not_current", "not_run")
+
+
 async def send_query(
     cluster: Cluster,
     query: str,
