Let callers wait while a process starts

Ruled out: a longer fault of our own; 1.5 s of the 1.77 s until the first answer the machine has no power.

Change: the socket for callers is opened before the libraries are imported. The first requests wait for the state, 0.3 s at most and only in the first second; then they are refused at once as before. The time in the backlog, as the kernel tells it, counts as the caller's.

--- a/flamingostack/gateway/__main__.py
+++ b/flamingostack/gateway/__main__.py
@@ -15,6 +15,13 @@
 # first periodic check of the settings file finds the change.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from ..errors import Failure  # noqa: E402
+from ..platform.settings import load_instance_settings  # noqa: E402
+from .backlog import open_backlog  # noqa: E402
+
+settings = load_instance_settings(os.environ)
+backlog = None if isinstance(settings, Failure) else open_backlog(settings.caller_address)
+
 from .main import run  # noqa: E402
 
-sys.exit(run())
+sys.exit(run(settings, backlog))
--- a/flamingostack/gateway/listener.py
+++ b/flamingostack/gateway/listener.py
@@ -13,9 +13,9 @@
 
 import structlog
 
+from .backlog import BACKLOG
 from .model import Address
 
-ACCEPT_BACKLOG = 512
 # Pause after the process or the machine has run out of descriptors or memory.
 ACCEPT_RETRY_S = 0.25
 EXHAUSTED_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -65,7 +65,7 @@
             self._loop.add_reader(self._socket, self._accept_waiting)
 
     def _accept_waiting(self) -> None:
-        for _ in range(ACCEPT_BACKLOG):
+        for _ in range(BACKLOG):
             try:
                 connection, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
@@ -99,8 +99,13 @@
     address: Address,
     make_protocol: Callable[[], asyncio.BaseProtocol],
     log: structlog.typing.FilteringBoundLogger,
+    listening_socket: socket.socket | None = None,
 ) -> Listener:
-    """Return a listener that accepts at `address`; raise OSError if the address is not free."""
-    listening_socket = socket.create_server(address, backlog=ACCEPT_BACKLOG)
-    listening_socket.setblocking(False)
+    """Return a listener that accepts at `address`; raise OSError if the address is not free.
+
+    `listening_socket` is one that listens there already.
+    """
+    if listening_socket is None:
+        listening_socket = socket.create_server(address, backlog=BACKLOG)
+        listening_socket.setblocking(False)
     return Listener(listening_socket, make_protocol, log)
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 
 from aiohttp import web
@@ -17,6 +18,7 @@
 from ..metrics import Metrics
 from ..platform.objects import INSTANCES, ObjectStore
 from ..platform.settings import load_instance_settings, read_settings_text
+from ..settings import SettingsReason
 from ..status import ExitStatus
 from ..store import StoreFailure
 from .feeds import Feed, StoreStatus, make_feeds
@@ -44,8 +46,11 @@
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-async def serve(settings: InstanceSettings) -> ExitStatus:
-    """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+async def serve(settings: InstanceSettings, backlog: socket.socket | None = None) -> ExitStatus:
+    """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+    `backlog` is a socket that listens for callers already; by default one is opened.
+    """
     loop = asyncio.get_running_loop()
     log = make_logger(settings.instance, settings.failure_domain, "gateway")
     logging.getLogger().addHandler(LibraryHandler(log))
@@ -70,7 +75,7 @@
     )
     tasks.append(asyncio.create_task(gateway.pauses.run()))
     server = CallerServer(gateway)
-    listener = open_listener(settings.caller_address, server, log)
+    listener = open_listener(settings.caller_address, server, log, backlog)
     await listen(make_readiness_server(gateway), settings.readiness_address)
     await listen(make_relay_server(gateway, feeds_by_kind, store_status), settings.peer_address)
     await listen(make_metrics_server(gateway), (settings.metrics_host, METRICS_PORT))
@@ -179,13 +184,14 @@
         connection.force_close()
 
 
-def run() -> ExitStatus:
-    """Run the gateway process and return its exit status."""
+def run(
+    settings: InstanceSettings | Failure[SettingsReason], backlog: socket.socket | None = None
+) -> ExitStatus:
+    """Run the gateway process and return its exit status; see `serve` for `backlog`."""
     configure_logs("info", BoundedStream(sys.stdout.fileno()))
-    settings = load_instance_settings(os.environ)
     if isinstance(settings, Failure):
         print(f"flamingostack-gateway: {settings.message}", file=sys.stderr)
         return ExitStatus.INVALID_INPUT
     gc.freeze()
     gc.enable()
-    return asyncio.run(serve(settings))
+    return asyncio.run(serve(settings, backlog))
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -12,6 +12,7 @@
 
 from ..entry.shutdown import Phase
 from ..platform import messages
+from .backlog import read_waiting_time_s
 from .fanout import PartState
 from .model import CallerLimits, FanOut, Route, SingleService, WeightedServices
 from .query import Caller, QueryFailure, QueryReason, QueryRun, make_plan
@@ -77,18 +78,28 @@
 class CallerConnection(RequestHandler):
     """A connection that is closed if a request header does not arrive within the time limit."""
 
-    __slots__ = ("_header_timer", "_await_request_until")
+    __slots__ = ("_header_timer", "_await_request_until", "_waiting_time_s")
 
     def __init__(self, manager: CallerServer, **kwargs) -> None:
         super().__init__(manager, **kwargs)
         self._header_timer: asyncio.TimerHandle | None = None
         self._await_request_until: float | None = None
+        # How long the first request waited in the backlog while the process started.
+        self._waiting_time_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Expect a first request."""
         super().connection_made(transport)
         transport.max_size = READ_BYTES
-        self._await_request_until = self._manager.gateway.now() + FIRST_REQUEST_WAIT_S
+        gateway = self._manager.gateway
+        self._await_request_until = gateway.now() + FIRST_REQUEST_WAIT_S
+        if gateway.startup.is_starting and has_unread_bytes(transport):
+            self._waiting_time_s = read_waiting_time_s(transport.get_extra_info("socket"))
+
+    def take_waiting_time_s(self) -> float:
+        """Return how long the next request has waited before it was read."""
+        waiting_time_s, self._waiting_time_s = self._waiting_time_s, 0.0
+        return waiting_time_s
 
     def data_received(self, data: bytes) -> None:
         """Start the header timer with the first bytes; stop it when the header is complete."""
@@ -165,7 +176,7 @@
 
 async def handle_request(gateway: Gateway, request: web.BaseRequest) -> web.Response:
     """Check a request, find its route and execute it."""
-    arrived_at = gateway.now()
+    arrived_at = gateway.now() - request.protocol.take_waiting_time_s()
     await gateway.wait_after_pause()
     request_id = messages.read_request_id(request.headers)
     if not request_id.isascii():
@@ -176,6 +187,7 @@
     refusal = check_limits(gateway, request)
     if refusal is not None:
         return refuse_request(gateway, request_id, *refusal)
+    await gateway.wait_for_state()
     if not gateway.knows_state:
         return refuse_request(gateway, request_id, 503, "no_configuration", NOT_READY_RETRY_AFTER_S)
     host, path = messages.split_target(request.raw_path, request.headers.get("Host", ""))
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -21,6 +21,7 @@
 from .placement import ColdShare, compute_cross_domain_rank
 from .routing import RouteTable
 from .sender import Sender
+from .startup import StartGuard
 from .traffic import DomainTraffic
 
 # Default median and slow latency of a part, as shares of the route's latency objective; used until
@@ -136,6 +137,7 @@
         "budget",
         "sender",
         "pauses",
+        "startup",
         "shutdown",
         "answer_until",
         "instances",
@@ -176,6 +178,7 @@
         )
         # None if the process does not watch for pauses.
         self.pauses: PauseGuard | None = None
+        self.startup = StartGuard(now)
         self.shutdown = Shutdown()
         # When this process has to have answered what it accepts, since it is about to end.
         self.answer_until = math.inf
@@ -208,6 +211,10 @@
         if self.pauses is not None:
             await self.pauses.wait()
 
+    async def wait_for_state(self) -> None:
+        """Wait for the first state if the process has just started."""
+        await self.startup.wait(lambda: self.knows_state)
+
     def set_configuration(self, configuration: Configuration) -> bool:
         """Apply a version of the configuration; return whether it was newer than the current one.
 
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -4,6 +4,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -156,21 +157,41 @@
         await self.wait_for_event("stopped")
 
 
-class EarlySignalTest(unittest.TestCase):
-    """Guards against a SIGHUP that ends the process while it imports its libraries."""
+class ImportTest(unittest.TestCase):
+    """Guards against losses while the process imports its libraries."""
+
+    def start_with_library(self, code: str) -> subprocess.Popen:
+        """Start a gateway whose first library runs `code` when it is imported."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        Path(folder, "aiohttp.py").write_text(code)
+        host = f"127.1.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250 + 1}"
+        settings = Path(folder, "local.conf")
+        settings.write_text(LINES.replace("10.1.0.39", host))
+        self.address = (host, 8226)
+        variables = {"PYTHONPATH": folder, "FLAMINGOSTACK_NODE_FILE": str(settings)}
+        process = subprocess.Popen(
+            [sys.executable, "-m", "flamingostack.gateway"],
+            cwd=ROOT,
+            env=os.environ | variables,
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def test_sighup_is_ignored(self):
+        process = self.start_with_library(
+            "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\nos._exit(7)\n"
+        )
+        self.assertEqual(process.wait(STOP_S), 7)
 
-    def test_sighup_is_ignored_before_the_first_library_is_imported(self):
-        with tempfile.TemporaryDirectory() as folder:
-            # Imported in place of the library, which is the first one that the process needs.
-            Path(folder, "aiohttp.py").write_text(
-                "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\nos._exit(7)\n"
-            )
-            process = subprocess.run(
-                [sys.executable, "-m", "flamingostack.gateway"],
-                cwd=ROOT,
-                env=os.environ | {"PYTHONPATH": folder},
-            )
-        self.assertEqual(process.returncode, 7)
+    def test_callers_can_connect(self):
+        process = self.start_with_library(
+            "import time\nprint('importing', flush=True)\ntime.sleep(60)\n"
+        )
+        self.assertEqual(process.stdout.readline(), b"importing\n")
+        socket.create_connection(self.address, timeout=STOP_S).close()
 
 
 class DeployTest(unittest.TestCase):
