Let no response of the store and no peer hold the event loop

Cause: the store's client and the servers for other instances, readiness and metrics read 256 KiB at a time, which the parser handles in one step. Interim responses without end from the store took 42 ms of processor time a step, short chunks 13.6 ms, and 102 and 355 ms with aiohttp's parser in Python; short chunks to the peer port 13.9 ms. The target is 20 ms on half a core, so 10 ms.

Ruled out: a count of interim responses, which aiohttp offers no public place for.

Change: both sides read 4 KiB at a time, as callers' connections do.

Before and after: tests.platform.test_objects.HeldLoopTest failed in 2 of 3 cases, EndlessPeerTest and EndlessProbeTest of tests.gateway.test_hostile_callers in one each; all pass, also with AIOHTTP_NO_EXTENSIONS=1 (40 passed each).

Conclusion: such a call still takes its whole time limit, see docs/SECURITY.md.

--- a/flamingostack/gateway/listener.py
+++ b/flamingostack/gateway/listener.py
@@ -1,4 +1,4 @@
-"""Listening socket for callers that loses no accepted connection when it is closed.
+"""Accepted connections: read in slices, and none lost when the socket for callers is closed.
 
 `asyncio.Server.close` drops the connections that it has accepted in the same step of the event
 loop, and resets those that wait in the backlog. Their callers may have sent a request by then.
@@ -12,7 +12,10 @@
 from collections.abc import Callable
 
 import structlog
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
+from ..store import READ_BYTES
 from .backlog import BACKLOG
 from .model import Address
 
@@ -21,6 +24,25 @@
 EXHAUSTED_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+class SliceConnection(RequestHandler):
+    """A connection that is read in slices, so that one peer cannot hold the event loop."""
+
+    __slots__ = ()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to read in slices."""
+        super().connection_made(transport)
+        transport.max_size = READ_BYTES
+
+
+class SliceServer(web.Server):
+    """An HTTP server with default limits whose connections are read in slices."""
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return SliceConnection(self, loop=asyncio.get_running_loop(), access_log=None)
+
+
 class Listener:
     """Accepts connections at one address, each with a protocol of its own."""
 
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -23,6 +23,7 @@
 from aiohttp import web
 
 from ..store import MAX_RESPONSE_BYTES, StoreFailure, make_session, send_request
+from .listener import SliceServer
 from .model import StoredRecord, StoredRecords
 from .observations import Observation, decode_observations
 from .status import STATUS_PATH, make_status
@@ -222,7 +223,7 @@
         body = encoder.encode(revisions_by_kind, response)
         return web.Response(body=body, content_type="application/octet-stream")
 
-    return web.Server(handle, access_log=None)
+    return SliceServer(handle)
 
 
 def parse_integer(text: str) -> int | None:
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -14,6 +14,7 @@
 from ..platform import messages
 from .backlog import read_waiting_time_s
 from .fanout import PartState
+from .listener import SliceConnection, SliceServer
 from .model import CallerLimits, FanOut, Route, SingleService, WeightedServices
 from .query import Caller, QueryFailure, QueryReason, QueryRun, make_plan
 from .records import merge_records
@@ -36,9 +37,6 @@
 # For how long a stop waits for the first request of a new connection. It follows the connection
 # by a round trip, but a caller that opens connections in advance may never send one.
 FIRST_REQUEST_WAIT_S = 0.5
-# Bytes that are read from a connection at a time, in place of the loop's 256 KiB. All other
-# requests wait while the parser handles them, which takes longest for chunks of one byte.
-READ_BYTES = 4 * 1024
 
 STATUS_BY_REASON = {
     QueryReason.NO_TARGET: 503,
@@ -75,7 +73,7 @@
         )
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(SliceConnection):
     """A connection that is closed if a request header does not arrive within the time limit."""
 
     __slots__ = ("_header_timer", "_await_request_until", "_waiting_time_s")
@@ -90,7 +88,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Expect a first request."""
         super().connection_made(transport)
-        transport.max_size = READ_BYTES
         gateway = self._manager.gateway
         self._await_request_until = gateway.now() + FIRST_REQUEST_WAIT_S
         if gateway.startup.is_starting and has_unread_bytes(transport):
@@ -421,7 +418,7 @@
         is_ready = gateway.is_ready and gateway.shutdown.phase is Phase.SERVING
         return web.Response(status=200 if is_ready else 503)
 
-    return web.Server(handle, access_log=None)
+    return SliceServer(handle)
 
 
 def make_metrics_server(gateway: Gateway) -> web.Server:
@@ -430,4 +427,4 @@
     async def handle(request: web.BaseRequest) -> web.Response:
         return web.Response(text=gateway.metrics.render())
 
-    return web.Server(handle, access_log=None)
+    return SliceServer(handle)
--- a/flamingostack/store.py
+++ b/flamingostack/store.py
@@ -24,6 +24,9 @@
 # Limit of a response, which bounds the memory that a broken store or peer can take. A page of a
 # list holds many objects, and most of them are far below the limit of a value.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Bytes that are read from a connection at a time, in place of the loop's 256 KiB. All other work
+# waits while the parser handles them, which takes longest for interim responses and short chunks.
+READ_BYTES = 4 * 1024
 MS_PER_S = 1000
 
 
@@ -294,6 +297,9 @@
     """
     import aiohttp
 
+    if connector is None:
+        connector = aiohttp.TCPConnector(socket_factory=make_slice_socket)
+
     class ConnectionLost(aiohttp.ClientError):
         """The connection broke when the request may already have been sent."""
 
@@ -315,6 +321,22 @@
     )
 
 
+class SliceSocket(socket.socket):
+    """A socket that is read in slices, so that the event loop runs in between."""
+
+    __slots__ = ()
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        """Return up to `size` received bytes, and up to READ_BYTES."""
+        return super().recv(min(size, READ_BYTES), flags)
+
+
+def make_slice_socket(address: aiohttp.AddrInfoType) -> SliceSocket:
+    """Return a socket for a connection to an address."""
+    family, kind, protocol, _, _ = address
+    return SliceSocket(family, kind, protocol)
+
+
 def make_probing_connector(probe_s: int, probes: int) -> aiohttp.TCPConnector:
     """Return a connector that uses TCP keepalive.
 
@@ -331,8 +353,7 @@
     }
 
     def make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-        family, kind, protocol, _, _ = address
-        tcp_socket = socket.socket(family, kind, protocol)
+        tcp_socket = make_slice_socket(address)
         tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         for option, value in tcp_options.items():
             tcp_socket.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
@@ -29,6 +30,8 @@
 
 RECORD_BYTES = 16
 CONNECT_TIMEOUT_S = 3.0
+# No peer may hold the loop for longer than 20 ms on half a core, that is 10 ms of processor time.
+MAX_HELD_S = 0.01
 
 
 Behaviour = Callable[["FakeTarget", web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -162,6 +165,25 @@
             await asyncio.sleep(0.005)
 
 
+class HeldTime:
+    """Longest processor time that a callback of connections took."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+
+    def wrap(self, method):
+        """Return a method that measures each call."""
+
+        def measured(connection, data):
+            before = time.process_time()
+            try:
+                return method(connection, data)
+            finally:
+                self.longest_s = max(self.longest_s, time.process_time() - before)
+
+        return measured
+
+
 class RunningGateway:
     """A gateway in the test's event loop, with an HTTP client for requests to it."""
 
--- a/tests/gateway/test_hostile_callers.py
+++ b/tests/gateway/test_hostile_callers.py
@@ -2,51 +2,45 @@
 
 import asyncio
 import contextlib
-import time
 import unittest
 from unittest import mock
 
+from aiohttp import web
+
+from flamingostack.gateway.server import make_readiness_server
 from standins.hostile import Step, Write, WriteEndlessly, play_steps
 
-from .fakes import HOST, FakeTarget, GatewayCase, make_route
+from .fakes import (
+    HOST,
+    MAX_HELD_S,
+    FakeTarget,
+    GatewayCase,
+    HeldTime,
+    RunningGateway,
+    make_route,
+)
 
 ROUTE = make_route("one", service="one")
 HEAD = b"POST /one/x HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: raw\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 SECONDS = 0.6
-# No peer may hold the loop for longer than 20 ms on half a core, that is 10 ms of processor time.
-MAX_HELD_S = 0.01
-
-
-class HeldTime:
-    """Longest processor time that a callback of the caller's connections took."""
-
-    def __init__(self) -> None:
-        self.longest_s = 0.0
-
-    def wrap(self, method):
-        """Return a method that measures each call."""
-
-        def measured(connection, data):
-            before = time.process_time()
-            try:
-                return method(connection, data)
-            finally:
-                self.longest_s = max(self.longest_s, time.process_time() - before)
-
-        return measured
 
 
 class EndlessCallerTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
     """Guards against a caller that holds the loop, while all other requests wait."""
 
+    def pick_server(self, running: RunningGateway) -> tuple[web.Server, int]:
+        """Return the server to which the bytes are sent, and its port."""
+        return running.server, running.port
+
     async def check(self, *steps: Step) -> None:
         running = await self.start_gateway({"one": [FakeTarget()]}, [ROUTE])
+        server, port = self.pick_server(running)
         held = HeldTime()
-        connection_class = type(running.server())
+        connection_class = type(server())
         measured = held.wrap(connection_class.data_received)
         with mock.patch.object(connection_class, "data_received", measured):
-            playing = [asyncio.create_task(self.play(running.port, steps)) for _ in range(3)]
+            playing = [asyncio.create_task(self.play(port, steps)) for _ in range(3)]
             await asyncio.sleep(SECONDS)
             status, _, _ = await running.get("/one/x", "r1")
             for task in playing:
@@ -83,3 +77,17 @@
     async def test_pipelined_requests(self):
         request = b"GET /nowhere HTTP/1.1\r\nHost: search.example\r\n\r\n"
         await self.check(WriteEndlessly(request))
+
+
+class EndlessPeerTest(EndlessCallerTest):
+    """Guards against another instance, or whoever reaches its port, that does the same."""
+
+    def pick_server(self, running):
+        return running.relay_server, running.relay_port
+
+
+class EndlessProbeTest(EndlessCallerTest):
+    """Guards against whoever reaches the port for readiness, and does the same."""
+
+    def pick_server(self, running):
+        return make_readiness_server(running.gateway), running.readiness_port
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import unittest
+from unittest import mock
+
+from aiohttp.client_proto import ResponseHandler
 
 from flamingostack.platform.objects import CALL_TIMEOUT_S, ObjectStore
 from flamingostack.store import MAX_RESPONSE_BYTES, StoreFailure, StoreReason
 from standins.hostile import HOST, HostileTarget, Stall, Step, Write, WriteEndlessly
-from tests.gateway.fakes import FakeObjectStore
+from tests.gateway.fakes import MAX_HELD_S, FakeObjectStore, HeldTime
 
 WATCH_S = 8.0
 
@@ -97,3 +100,31 @@
         async with asyncio.timeout(CALL_TIMEOUT_S + 1.0):
             result = await store.watch("kind", 1, WATCH_S)
         self.assertIs(result.reason, StoreReason.OUTCOME_UNKNOWN)
+
+
+class HeldLoopTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a store that holds the loop of an instance, while all requests wait."""
+
+    async def check_held(self, head: bytes, piece: bytes) -> None:
+        hostile = HostileTarget(lambda _: [Write(head), WriteEndlessly(piece)])
+        await hostile.start()
+        self.addAsyncCleanup(hostile.stop)
+        store = ObjectStore(f"http://{HOST}:{hostile.port}")
+        self.addAsyncCleanup(store.close)
+        held = HeldTime()
+        measured = held.wrap(ResponseHandler.data_received)
+        with mock.patch.object(ResponseHandler, "data_received", measured):
+            async with asyncio.timeout(CALL_TIMEOUT_S + 1.0):
+                result = await store.list_objects("kind")
+        self.assertIsInstance(result, StoreFailure)
+        self.assertLess(held.longest_s, MAX_HELD_S)
+
+    async def test_interim_responses(self):
+        await self.check_held(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    async def test_header_fields(self):
+        await self.check_held(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n")
+
+    async def test_short_chunks(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await self.check_held(head, b"1\r\na\r\n")
