Send a query to a gateway from the command line

Ruled out: repeating a query whose answer is lost; the exit status says that it may have run.

The names on the wire stay in flamingostack/platform/messages.py.

Before and after: 5 tests of tests.cli.test_gateways.GatewayQueryTest; options that would not be heeded are refused.

--- a/flamingostack/cli/definition.py
+++ b/flamingostack/cli/definition.py
@@ -176,11 +176,16 @@
 
 @dataclass(frozen=True, slots=True)
 class SendQuery:
-    """Arguments of `query`; `option_values` holds the keys of the body that are set by options."""
+    """Arguments of `query`; `option_values` holds the keys of the body that are set by options.
+
+    `gateway` is the settings file of a gateway, which gets a request for `url`; both may be empty.
+    """
 
     body: str | None
     option_values: dict[str, object] = field(hash=False)
     entry: str | None
+    gateway: str
+    url: str
     options: Options
 
 
@@ -367,9 +372,11 @@
             help="Entry process as HOST:PORT. Default: that of the control process's instance."
         ),
     ] = None,
+    gateway: GatewayOption = "",
+    url: Annotated[str, Parameter(help="HOST/PATH of the request to a gateway.")] = "",
     options: Options = DEFAULT_OPTIONS,
 ) -> Command:
-    """Send one query to an entry process and print its answer."""
+    """Send one query to an entry process, or to a gateway, and print its answer."""
     option_values = {
         "class": request_class,
         "tenant": tenant,
@@ -383,6 +390,8 @@
         body=body,
         option_values={key: value for key, value in option_values.items() if value is not None},
         entry=entry,
+        gateway=gateway,
+        url=url,
         options=options,
     )
 
--- a/flamingostack/core.py
+++ b/flamingostack/core.py
@@ -37,6 +37,7 @@
 from .cli.marks import set_gateway_mark
 from .cli.output import Outcome, make_error, write_outcome
 from .cli.presets import check_preset, check_settings, list_presets, show_preset
+from .cli.queries import send_gateway_query
 from .cli.report import write_report
 from .cli.requests import explain_request, send_query
 from .status import ExitStatus
@@ -110,6 +111,8 @@
             return check_gateway_change(change)
         case ShowStatus(gateway=gateway) if gateway:
             return None
+        case SendQuery(gateway=gateway, url=url) if gateway or url:
+            return check_gateway_query(command)
         case SendQuery(entry=entry) if entry is not None:
             addresses.append(entry)
             needs_control = False
@@ -133,6 +136,21 @@
     return make_error(ExitStatus.USAGE, "usage", message)
 
 
+def check_gateway_query(command: SendQuery) -> Outcome | None:
+    """Return an error unless a query to a gateway has just the options that it heeds."""
+    if not command.gateway or not command.url:
+        return make_error(ExitStatus.USAGE, "usage", "--gateway and --url go together")
+    others = [f"--{key.replace('_', '-')}" for key in command.option_values if key != "deadline_ms"]
+    if command.body is not None:
+        others.insert(0, "a body")
+    if command.entry is not None:
+        others.append("--entry")
+    if not others:
+        return None
+    message = f"{', '.join(others)}: no meaning with --gateway"
+    return make_error(ExitStatus.USAGE, "usage", message)
+
+
 async def execute(command: Command, environment: CommandEnvironment) -> Outcome:
     """Run a command whose options are complete and whose addresses are valid."""
     client = ControlClient(
@@ -157,6 +175,8 @@
             return await show_gateways(command, environment)
         case ShowStatus():
             return await show_status(command, client)
+        case SendQuery(gateway=gateway) if gateway:
+            return await send_gateway_query(command, environment)
         case SendQuery():
             return await send_query(command, client, environment)
         case ExplainRequest(logs=logs) if logs:
--- a/flamingostack/platform/messages.py
+++ b/flamingostack/platform/messages.py
@@ -206,6 +206,30 @@
     }
 
 
+def make_request_headers(host: str, request_id: str, time_left_s: float) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    milliseconds = max(int(time_left_s * MS_PER_S), 1)
+    return {"Host": host, REQUEST_ID: request_id, TIME_LEFT: str(milliseconds)}
+
+
+def count_parts(headers: CIMultiDictProxy[str]) -> tuple[int, int] | None:
+    """Return how many parts a merged answer has, one or more, and lacks; None if it is none."""
+    signatures = ",".join(headers.getall(PART_SIGNATURES, ())).split(",")
+    present = sum(bool(signature.strip()) for signature in signatures)
+    missing = headers.get(MISSING_PARTS, "0")
+    if not present or not (missing.isascii() and missing.isdigit()):
+        return None
+    return present, int(missing)
+
+
+def read_retry_after_s(headers: Mapping[str, str]) -> float | None:
+    """Return after how many seconds a refused caller may come back; None if that is not told."""
+    try:
+        return float(headers[RETRY_AFTER])
+    except (KeyError, ValueError):
+        return None
+
+
 def make_refusal_headers(request_id: str, retry_after_s: float | None) -> dict[str, str]:
     """Return the headers of a failure response that the gateway itself generates."""
     headers = {REQUEST_ID: request_id} if request_id else {}
--- a/tests/cli/test_gateways.py
+++ b/tests/cli/test_gateways.py
@@ -1,7 +1,18 @@
 """Tests of the commands for gateways, which run in the event loop of the test."""
 
+import base64
+
+from aiohttp import web
+
 from tests.cli.fakes import CommandTest
-from tests.gateway.fakes import HOST, FakeTarget, GatewayCase, make_configuration, make_route
+from tests.gateway.fakes import (
+    HOST,
+    RECORD_BYTES,
+    FakeTarget,
+    GatewayCase,
+    make_configuration,
+    make_route,
+)
 
 ROUTE = make_route("one", service="one")
 SETTINGS = """nodeName=front-a-1
@@ -20,6 +31,11 @@
 """
 
 
+async def fail(target: FakeTarget, request: web.BaseRequest) -> web.StreamResponse:
+    """Fail a request that has run."""
+    return web.Response(status=500, headers={"X-Request-Id": request.headers["X-Request-Id"]})
+
+
 class GatewayCommandTest(GatewayCase, CommandTest):
     """Base of tests that run a command against gateways and their store."""
 
@@ -135,3 +151,73 @@
             result = await self.run_mark("target", "t", "leaving", *option)
             self.assertEqual(result.status, 2, result.stdout)
             self.assertIn("no meaning with --gateway", result.stderr)
+
+
+class GatewayQueryTest(GatewayCommandTest):
+    """Guards against a coverage or an outcome that the gateway did not report."""
+
+    async def start(self, *behaviours):
+        targets = {f"s{number}": [FakeTarget(item)] for number, item in enumerate(behaviours)}
+        merged = make_route("all", fanOutServices=list(targets), maxResults=5, minPartShare=0.5)
+        single = make_route("one", service="s0")
+        running = await self.start_gateway(targets, [merged, single])
+        store = self.store.url.removeprefix("http://")
+        self.settings = SETTINGS.format(store=store).replace("8226", str(running.port))
+        return running
+
+    async def run_query(self, url: str, *args: str, settings: str | None = None):
+        file = self.write_file((settings or self.settings).encode())
+        return await self.run_command("query", "--gateway", file, "--url", url, *args)
+
+    async def test_merged_answer_shows_its_coverage(self):
+        await self.start(None, fail, None, None)
+        result = await self.run_query("search.example/all/x", "--json")
+        self.assertEqual(result.status, 0, result.stdout)
+        self.assertEqual((result.data["parts"], result.data["missing"]), (3, 1))
+        self.assertEqual(result.data["coverage"], 0.75)
+        self.assertEqual(len(base64.b64decode(result.data["body_base64"])), 3 * RECORD_BYTES)
+        result = await self.run_query("http://search.example/all/x?q=1")
+        self.assertIn("coverage: 0.750 (3 of 4 parts)", result.stdout)
+
+    async def test_answer_of_one_target_has_no_coverage(self):
+        await self.start(None)
+        result = await self.run_query("search.example/one/x")
+        self.assertEqual(result.status, 0, result.stderr)
+        self.assertNotIn("coverage", result.stdout)
+        self.assertIn(f"body: {RECORD_BYTES} bytes", result.stdout)
+
+    async def test_outcome_tells_whether_the_request_has_run(self):
+        running = await self.start(fail)
+        result = await self.run_query("search.example/nowhere", "--json")
+        self.assertEqual(result.status, 7, result.stdout)
+        result = await self.run_query("search.example/one/x", "--json")
+        self.assertEqual((result.status, result.data["ran"]), (8, "unknown"))
+        running.gateway.directory.targets_by_service.clear()
+        result = await self.run_query("search.example/one/x", "--json")
+        self.assertEqual((result.status, result.data["ran"]), (5, "not_run"))
+        self.assertGreater(result.data["retry_after_s"], 0)
+        await running.listener.close()
+        result = await self.run_query("search.example/one/x", "--json")
+        self.assertEqual((result.status, result.data["ran"]), (5, "not_run"))
+
+    async def test_gateway_that_does_not_answer(self):
+        await self.start(None)
+        port = (await self.start_raw(b"HTTP/1.1 200 OK\r\nContent-Le")).partition(":")[2]
+        settings = self.settings.replace(self.settings_port(), port)
+        result = await self.run_query("search.example/one/x", "--json", settings=settings)
+        self.assertEqual((result.status, result.data["ran"]), (8, "unknown"))
+
+    def settings_port(self) -> str:
+        """Return the port for callers in the settings."""
+        return self.settings.partition("listen.front=127.0.0.1:")[2].partition("\n")[0]
+
+    async def test_options_that_would_not_be_heeded_are_refused(self):
+        await self.start(None)
+        for url in ("search.example", "/one/x", "search.example/one x", "search.example/\r\nA: b"):
+            self.assertEqual((await self.run_query(url)).status, 2, url)
+        for option in (("--class", "enquiry"), ("--entry", "a:1"), ("--deadline-ms", "0")):
+            result = await self.run_query("search.example/one/x", *option)
+            self.assertEqual(result.status, 2, option)
+        result = await self.run_command("query", "--url", "search.example/one/x")
+        self.assertEqual(result.status, 2)
+        self.assertIn("--gateway and --url go together", result.stderr)
