Answer the callers of a process that is stopped while it starts

Cause: the socket for callers is open before the libraries are imported, and a SIGTERM before the handlers were set ended the process at once.

Ruled out: refusing connections again until the handlers are set, which would lose the callers of a restart.

Change: SIGHUP, SIGTERM and SIGINT are blocked from the first statement on until the process serves. The soak counts blocked signals among those that do not end a process. It sends by process id now, which is as strict.

--- a/flamingostack/gateway/__main__.py
+++ b/flamingostack/gateway/__main__.py
@@ -11,9 +11,9 @@
 # All addresses of the platform are plain HTTP, but aiohttp loads the certificates of the machine
 # when it is imported, which takes a fifth of the start.
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
-# The settings may change during the start, and SIGHUP ends a process that has no handler yet. The
-# first periodic check of the settings file finds the change.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# A signal ends a process that has no handler yet. `serve` takes these once it has opened all that
+# it needs: callers that wait in the backlog are answered also if the process is to stop.
+signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
 
 from ..errors import Failure  # noqa: E402
 from ..platform.settings import load_instance_settings  # noqa: E402
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -80,6 +80,8 @@
     await listen(make_relay_server(gateway, feeds_by_kind, store_status), settings.peer_address)
     await listen(make_metrics_server(gateway), (settings.metrics_host, METRICS_PORT))
     log.info("started", address=settings.caller_address, pid=os.getpid())
+    # They are blocked from the first statement of the process on, see `__main__.py`.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
     await gateway.shutdown.wait_requested()
     await shut_down(gateway, server, listener)
     for task in tasks:
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -169,12 +169,14 @@
 
 
 def is_interpreter_starting(pid: int) -> bool:
-    """Return whether a process neither handles SIGHUP nor has loaded any library yet."""
+    """Return whether SIGHUP ends a process, and it has not loaded any library yet."""
     folder = Path(f"/proc/{pid}")
     try:
         fields = dict(line.split(":", 1) for line in (folder / "status").read_text().splitlines())
         maps = (folder / "maps").read_text()
     except OSError:
         return False
-    handled = int(fields.get("SigIgn", "0"), 16) | int(fields.get("SigCgt", "0"), 16)
-    return not handled & 1 << (signal.SIGHUP - 1) and LIBRARY_FOLDER not in maps
+    kept = 0
+    for name in ("SigBlk", "SigIgn", "SigCgt"):
+        kept |= int(fields.get(name, "0"), 16)
+    return not kept & 1 << (signal.SIGHUP - 1) and LIBRARY_FOLDER not in maps
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -1,6 +1,7 @@
 """Tests of flamingostack.gateway.main, with the gateway in a separate process."""
 
 import asyncio
+import contextlib
 import os
 import shutil
 import signal
@@ -113,7 +114,9 @@
         self.process.send_signal(signal.SIGTERM)
         await self.wait_for_event("stopped")
         while self.process.returncode is None:
-            self.process.send_signal(signal.SIGHUP)
+            # The signal method of the process would reap it, and its status would be lost.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal.SIGHUP)
             await asyncio.sleep(0.002)
         self.assertEqual(await self.process.wait(), 0)
 
@@ -166,15 +169,18 @@
         Path(folder, "aiohttp.py").write_text(code)
         host = f"127.1.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250 + 1}"
         settings = Path(folder, "local.conf")
-        settings.write_text(LINES.replace("10.1.0.39", host))
+        text = LINES.replace("10.1.0.39", host).replace("10.200.1.7", HOST)
+        settings.write_text(text.replace("bounds.gracePeriodS=6", "bounds.gracePeriodS=1"))
         self.address = (host, 8226)
         variables = {"PYTHONPATH": folder, "FLAMINGOSTACK_NODE_FILE": str(settings)}
         process = subprocess.Popen(
             [sys.executable, "-m", "flamingostack.gateway"],
             cwd=ROOT,
             env=os.environ | variables,
+            stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
+        self.addCleanup(process.stdin.close)
         self.addCleanup(process.stdout.close)
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
@@ -186,6 +192,27 @@
         )
         self.assertEqual(process.wait(STOP_S), 7)
 
+    def test_accepted_callers_are_answered_if_the_process_is_to_stop(self):
+        process = self.start_with_library(
+            # Gives way to the real library after the signal.
+            "import os, signal, sys\n"
+            "print('importing', flush=True)\n"
+            "sys.stdin.readline()\n"
+            "os.kill(os.getpid(), signal.SIGTERM)\n"
+            "sys.path.remove(os.path.dirname(__file__))\n"
+            "del sys.modules['aiohttp']\n"
+            "import aiohttp\n"
+        )
+        self.assertEqual(process.stdout.readline(), b"importing\n")
+        with socket.create_connection(self.address, timeout=STOP_S) as caller:
+            caller.sendall(b"GET /one/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\n\r\n")
+            process.stdin.write(b"\n")
+            process.stdin.flush()
+            # There is no store in this test.
+            self.assertEqual(caller.recv(12), b"HTTP/1.1 503")
+        process.stdout.read()
+        self.assertEqual(process.wait(STOP_S), 0)
+
     def test_callers_can_connect(self):
         process = self.start_with_library(
             "import time\nprint('importing', flush=True)\ntime.sleep(60)\n"
