Count the grace period from the start if a process is stopped while it starts

Cause: a SIGTERM during the start is handled once the process serves, and its grace period was counted from then.

Change: such a stop counts from the first statement of the process, and needs no notice, since the platform routes no callers to an instance that was never ready.

Before and after: test_stop_during_a_long_start_ends_within_the_grace_period failed (the stop took half of the grace period after "started") and passes.

--- a/flamingostack/gateway/__main__.py
+++ b/flamingostack/gateway/__main__.py
@@ -4,6 +4,9 @@
 import os
 import signal
 import sys
+import time
+
+STARTED_AT = time.monotonic()
 
 # The imports are most of the time from a start to the first answer. What they allocate stays, so
 # that collecting garbage meanwhile is in vain.
@@ -24,4 +27,4 @@
 
 from .main import run  # noqa: E402
 
-sys.exit(run(settings, backlog))
+sys.exit(run(settings, STARTED_AT, backlog))
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -43,13 +43,17 @@
 REGISTER_RETRY_S = 2.0
 # How often the settings file is compared with what was read before.
 SETTINGS_CHECK_S = 5.0
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 
 
-async def serve(settings: InstanceSettings, backlog: socket.socket | None = None) -> ExitStatus:
+async def serve(
+    settings: InstanceSettings, started_at: float, backlog: socket.socket | None = None
+) -> ExitStatus:
     """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
-    `backlog` is a socket that listens for callers already; by default one is opened.
+    `started_at` is when the process started, in seconds of the event loop's clock. `backlog` is a
+    socket that listens for callers already; by default one is opened.
     """
     loop = asyncio.get_running_loop()
     log = make_logger(settings.instance, settings.failure_domain, "gateway")
@@ -57,7 +61,7 @@
     sender = Sender()
     gateway = Gateway(settings, log, Metrics(), loop.time, sender)
     gateway.metrics.set_gauge("gateway_skipped_answers", lambda: sender.skipped_answers)
-    for name in (signal.SIGTERM, signal.SIGINT):
+    for name in STOP_SIGNALS:
         loop.add_signal_handler(name, gateway.shutdown.request)
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
@@ -80,10 +84,11 @@
     await listen(make_relay_server(gateway, feeds_by_kind, store_status), settings.peer_address)
     await listen(make_metrics_server(gateway), (settings.metrics_host, METRICS_PORT))
     log.info("started", address=settings.caller_address, pid=os.getpid())
+    is_stopped_in_start = not signal.sigpending().isdisjoint(STOP_SIGNALS)
     # They are blocked from the first statement of the process on, see `__main__.py`.
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
     await gateway.shutdown.wait_requested()
-    await shut_down(gateway, server, listener)
+    await shut_down(gateway, server, listener, started_at if is_stopped_in_start else None)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
@@ -160,18 +165,24 @@
     gateway.log.info("reloaded", changed=",".join(changed), signalled=is_signalled)
 
 
-async def shut_down(gateway: Gateway, server: CallerServer, listener: Listener) -> None:
+async def shut_down(
+    gateway: Gateway, server: CallerServer, listener: Listener, started_at: float | None = None
+) -> None:
     """Report not ready, let running requests finish, and close idle connections.
 
+    With `started_at`, the process was to stop before it served. The grace period may have begun
+    then, and the platform routes no callers to it yet.
+
     Requests that arrive from now on fail in time to be answered, also if their targets are silent.
     Earlier ones that are still running near the end of the grace period are aborted.
     """
     grace_s = gateway.settings.shutdown_grace_s
     gateway.shutdown.phase = Phase.NOTICE
     gateway.log.info("stopping", running=gateway.shutdown.running, grace_s=grace_s)
-    began_at = gateway.now()
+    began_at = gateway.now() if started_at is None else started_at
     end_at = gateway.answer_until = began_at + grace_s * (1 - EXIT_RESERVE_SHARE)
-    await asyncio.sleep(min(DRAIN_NOTICE_S, grace_s / 2))
+    if started_at is None:
+        await asyncio.sleep(min(DRAIN_NOTICE_S, grace_s / 2))
     gateway.shutdown.phase = Phase.FINISHING
     await listener.close()
     while server.connections and gateway.now() < end_at:
@@ -187,13 +198,15 @@
 
 
 def run(
-    settings: InstanceSettings | Failure[SettingsReason], backlog: socket.socket | None = None
+    settings: InstanceSettings | Failure[SettingsReason],
+    started_at: float,
+    backlog: socket.socket | None = None,
 ) -> ExitStatus:
-    """Run the gateway process and return its exit status; see `serve` for `backlog`."""
+    """Run the gateway process and return its exit status; see `serve` for the arguments."""
     configure_logs("info", BoundedStream(sys.stdout.fileno()))
     if isinstance(settings, Failure):
         print(f"flamingostack-gateway: {settings.message}", file=sys.stderr)
         return ExitStatus.INVALID_INPUT
     gc.freeze()
     gc.enable()
-    return asyncio.run(serve(settings, backlog))
+    return asyncio.run(serve(settings, started_at, backlog))
--- a/tests/gateway/test_main.py
+++ b/tests/gateway/test_main.py
@@ -11,6 +11,7 @@
 import tempfile
 import tomllib
 import unittest
+from datetime import datetime
 from pathlib import Path
 
 import aiohttp
@@ -22,6 +23,12 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 STOP_S = 10
+GRACE_S = 2
+
+
+def read_time(line: str) -> float:
+    """Return the time of a log line in seconds."""
+    return datetime.fromisoformat(line.split("'")[1]).timestamp()
 
 
 class ProcessCase(unittest.IsolatedAsyncioTestCase):
@@ -170,7 +177,7 @@
         host = f"127.1.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250 + 1}"
         settings = Path(folder, "local.conf")
         text = LINES.replace("10.1.0.39", host).replace("10.200.1.7", HOST)
-        settings.write_text(text.replace("bounds.gracePeriodS=6", "bounds.gracePeriodS=1"))
+        settings.write_text(text.replace("bounds.gracePeriodS=6", f"bounds.gracePeriodS={GRACE_S}"))
         self.address = (host, 8226)
         variables = {"PYTHONPATH": folder, "FLAMINGOSTACK_NODE_FILE": str(settings)}
         process = subprocess.Popen(
@@ -213,6 +220,23 @@
         process.stdout.read()
         self.assertEqual(process.wait(STOP_S), 0)
 
+    def test_stop_during_a_long_start_ends_within_the_grace_period(self):
+        process = self.start_with_library(
+            # The start takes as long as the grace period from the signal on.
+            "import os, signal, sys, time\n"
+            "os.kill(os.getpid(), signal.SIGTERM)\n"
+            f"time.sleep({GRACE_S})\n"
+            "sys.path.remove(os.path.dirname(__file__))\n"
+            "del sys.modules['aiohttp']\n"
+            "import aiohttp\n"
+        )
+        lines = process.stdout.read().decode().splitlines()
+        self.assertEqual(process.wait(STOP_S), 0)
+        (started,) = [line for line in lines if "event='started'" in line]
+        (stopped,) = [line for line in lines if "event='stopped'" in line]
+        # A stop that counts from the moment of "started" waits for half of the grace period.
+        self.assertLess(read_time(stopped) - read_time(started), GRACE_S / 2)
+
     def test_callers_can_connect(self):
         process = self.start_with_library(
             "import time\nprint('importing', flush=True)\ntime.sleep(60)\n"
