Share a part of the slack for extra sends in large failure domains

Cause: answers of large fleets lack parts. Of these parts 326 had been kept from a second target because their instance had sent to that shard again in the last 10 s, 20 since its allowance was below one, 211 had been sent again. The fleet had spent 73 of about 515 on the shard that needed most: an instance may spend one or two in a window, and chance uses them up.

Ruled out: a larger part that follows the requests, which the bound does not allow; totals that travel with the polls, since 35% of a window's requests may arrive before they are known.

Change: a fifth of the usable slack is handed out by the two readers of a failure domain, one grant for one send within 0.1 s. The equal part falls from 0.35 to 0.25, that by requests from 0.45 to 0.35.

--- a/flamingostack/gateway/budget.py
+++ b/flamingostack/gateway/budget.py
@@ -7,20 +7,25 @@
 
 In a large fleet most instances get no request in a window, and an equal share of the slack is too
 little for the others just when many targets refuse requests. Where the requests of the failure
-domain are known (`traffic.py`), a part of the slack therefore follows them.
+domain are known (`traffic.py`), a part of the slack therefore follows them. In a large failure
+domain another part is not divided, and is handed out one by one (`pool.py`).
 """
 
 from __future__ import annotations
 
 from collections import deque
 
+from .readers import READERS_PER_DOMAIN
+
 # Usable share of the budget. The remainder allows for sends that are still on their way when a
 # window begins.
 USABLE_BUDGET_SHARE = 0.85
-# Parts of the usable slack that are divided equally, and by requests. All shares together stay
-# below the slack while the requests of a failure domain grow by 1.8 between two reports.
-EQUAL_SLACK_SHARE = 0.35
-TRAFFIC_SLACK_SHARE = 0.45
+# Parts of the usable slack that are divided equally, and by requests, and that are handed out by
+# the readers of large failure domains. All shares together stay below the slack while the requests
+# of a failure domain grow by 1.8 between two reports, also if three instances hand out for two.
+EQUAL_SLACK_SHARE = 0.25
+TRAFFIC_SLACK_SHARE = 0.35
+POOL_SLACK_SHARE = 0.2
 # For how long the requests of the failure domain are used after a report.
 MAX_TRAFFIC_AGE_S = 3.0
 
@@ -53,6 +58,7 @@
         "slack",
         "window_s",
         "instance_count",
+        "pooled_instances",
         "started_at",
         "_budgets_by_service",
         "_query_times",
@@ -67,6 +73,8 @@
         self.window_s = window_s
         # 0 while the number of instances that share the slack is unknown.
         self.instance_count = 0
+        # Instances of the failure domain, if they share a pool; otherwise 0.
+        self.pooled_instances = 0
         self.started_at = now
         self._budgets_by_service: dict[str, ServiceBudget] = {}
         self._query_times: deque[float] = deque()
@@ -112,7 +120,7 @@
             return 0.0
         equal = self.slack / self.instance_count
         if now >= self._domain_known_until:
-            return equal
+            return equal * (1 - POOL_SLACK_SHARE) if self.pooled_instances else equal
         # The floor keeps the first requests after an idle window from taking the whole slack.
         domain_requests = max(self._domain_requests, self._domain_instances)
         own_share = min(self.requests(now) / domain_requests, 1.0)
@@ -120,6 +128,13 @@
             EQUAL_SLACK_SHARE + TRAFFIC_SLACK_SHARE * self._domain_instances * own_share
         )
 
+    def pool_limit(self) -> float:
+        """Return how many extra sends to a service one reader may hand out in a window."""
+        if not self.instance_count:
+            return 0.0
+        domain_slack = self.slack * self.pooled_instances / self.instance_count
+        return domain_slack * POOL_SLACK_SHARE * USABLE_BUDGET_SHARE / READERS_PER_DOMAIN
+
     def spent(self, service: str, now: float) -> int:
         """Return the number of extra sends in the last window."""
         return len(self._budget(service, now).extra_sends)
--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+import random
+from collections.abc import Collection, Mapping
 
 from .feeds import READER_WATCH_WAIT_S, Feed, StoreStatus
 from .observations import encode_observations
-from .readers import READERS_PER_DOMAIN, choose_sources
+from .readers import MIN_DOMAIN_INSTANCES, READERS_PER_DOMAIN, choose_sources
 from .relay import (
     INSTANCE_PARAMETER,
     OBSERVATIONS_PARAMETER,
@@ -137,10 +138,23 @@
             for name in self.peers.addresses_by_instance
             if domains_by_instance.get(name) == self.gateway.settings.failure_domain
         }
-        self.gateway.traffic.instance_count = len(domain_peers | {own})
+        size = len(domain_peers | {own})
+        self.gateway.traffic.instance_count = size
+        self.gateway.budget.pooled_instances = size if size >= MIN_DOMAIN_INSTANCES else 0
         skipped = self.unreachable_until_by_source.keys() | self.lost_until_by_source.keys()
         return choose_sources(own, domain_peers | {own}, skipped)
 
+    async def request_grants(self, services: Collection[str]) -> Collection[str]:
+        """Ask a reader for an extra send to each service; return those for which there is one."""
+        sources = self.store_status.sources
+        if not self.store_status.is_following_peers:
+            return self.gateway.grant_extra_sends(services)
+        address = self.peers.addresses_by_instance.get(random.choice(sources)) if sources else None
+        if address is None:
+            return []
+        own = self.gateway.settings.instance
+        return await self.peers.request_grants(address, own, services)
+
     def start_probes(self) -> None:
         """Probe the skipped sources that are due, to find out whether they are back."""
         now = self.gateway.now()
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -70,6 +70,7 @@
     store_status = StoreStatus(loop.time)
     feeds_by_kind = make_feeds(gateway, store, peers, store_status)
     follower = Follower(gateway, feeds_by_kind, store_status, peers)
+    gateway.request_grants = follower.request_grants
     tasks = [asyncio.create_task(feed.run()) for feed in feeds_by_kind.values()]
     tasks.append(asyncio.create_task(follower.run()))
     tasks.append(asyncio.create_task(register_instance(gateway, store, feeds_by_kind[INSTANCES])))
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -21,7 +21,9 @@
     compute_hedge_delay_s,
 )
 from .model import FanOut, Route
+from .pauses import read_clock_s
 from .placement import can_accept, choose_target
+from .pool import GRANT_VALID_S
 from .sender import (
     MIN_SEND_TIME_S,
     NOT_RUN_OUTCOMES,
@@ -73,6 +75,40 @@
         self.time_left_s = time_left_s
 
 
+class Grants:
+    """Extra sends from the pool that one request wants, has asked for and has got, by service.
+
+    A request asks once for each service, which bounds the load of the reader that is asked. Times
+    are those of `read_clock_s`, so that no grant is used after the process stood still.
+    """
+
+    __slots__ = ("_wanted", "_asked", "_valid_until")
+
+    def __init__(self) -> None:
+        self._wanted: list[str] = []
+        self._asked: set[str] = set()
+        self._valid_until: dict[str, float] = {}
+
+    def want(self, service: str) -> None:
+        """Record that the budget did not allow an extra send to a service."""
+        if service not in self._asked:
+            self._asked.add(service)
+            self._wanted.append(service)
+
+    def take_wanted(self) -> list[str]:
+        """Return the services to ask for, and forget them."""
+        wanted, self._wanted = self._wanted, []
+        return wanted
+
+    def add(self, service: str, valid_until: float) -> None:
+        """Record a grant that may be used until the given time."""
+        self._valid_until[service] = valid_until
+
+    def use(self, service: str, now: float) -> bool:
+        """Return whether there is a valid grant for a service, and use it up."""
+        return now < self._valid_until.pop(service, 0.0)
+
+
 class QueryRun:
     """One request in flight and its sends.
 
@@ -90,6 +126,7 @@
         "extra_sends",
         "finished_sends",
         "overloaded_sends",
+        "_grants",
         "_results",
         "_tasks",
         "_loop",
@@ -109,7 +146,9 @@
         self.finished_sends: list[str] = []
         self.overloaded_sends = 0
         self._loop = asyncio.get_running_loop()
-        self._results: asyncio.Queue[tuple[Part, Target, SendResult]] = asyncio.Queue()
+        self._grants = Grants()
+        # An item without a result only wakes the plan.
+        self._results: asyncio.Queue[tuple[Part, Target, SendResult] | None] = asyncio.Queue()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None | QueryFailure:
@@ -144,6 +183,7 @@
                     now = self.gateway.now()
                     for part in parts:
                         self._send(part, now)
+                    self._request_grants()
                 case Wait(until=until):
                     await self._wait(until)
                 case Answer():
@@ -154,12 +194,15 @@
     async def _wait(self, until: float) -> None:
         try:
             async with asyncio.timeout_at(until):
-                part, target, result = await self._results.get()
+                item = await self._results.get()
         except TimeoutError:
             return
-        self._handle_result(part, target, result)
-        while not self._results.empty():
-            self._handle_result(*self._results.get_nowait())
+        while True:
+            if item is not None:
+                self._handle_result(*item)
+            if self._results.empty():
+                return
+            item = self._results.get_nowait()
 
     def _check_free_targets(self) -> list[bool]:
         gateway = self.gateway
@@ -208,7 +251,11 @@
             return
         if part.is_next_send_extra:
             share = 1.0 if self.plan.needs_another_send(part, now) else OPTIONAL_SEND_BUDGET_SHARE
-            if not gateway.budget.try_spend(part.service, now, share):
+            if not (
+                gateway.budget.try_spend(part.service, now, share)
+                or self._grants.use(part.service, read_clock_s())
+            ):
+                self._grants.want(part.service)
                 self.plan.on_blocked(part, True, now)
                 return
             self._record_extra_send(part, target, now)
@@ -217,6 +264,25 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _request_grants(self) -> None:
+        """Ask the pool of the failure domain for the extra sends that the budget did not allow."""
+        services = self._grants.take_wanted()
+        gateway = self.gateway
+        if not services or gateway.request_grants is None or not gateway.budget.pooled_instances:
+            return
+        task = self._loop.create_task(self._fetch_grants(services))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _fetch_grants(self, services: list[str]) -> None:
+        valid_until = read_clock_s() + GRANT_VALID_S
+        granted = set(await self.gateway.request_grants(services))
+        for part in self.plan.parts:
+            if part.service in granted and part.state is PartState.OPEN:
+                self._grants.add(part.service, valid_until)
+                part.next_try_at = 0.0
+        self._results.put_nowait(None)
+
     def _hedge_delay_s(self, spent_budget_share: float, now: float) -> float:
         """Return after how long a send may be hedged; the delay grows as the budget is spent."""
         return compute_hedge_delay_s(
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -15,17 +15,19 @@
 import random
 import re
 import zlib
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
 import msgspec
 from aiohttp import web
+from multidict import MultiMapping
 
 from ..store import MAX_RESPONSE_BYTES, StoreFailure, make_session, send_request
 from .listener import SliceServer
 from .model import StoredRecord, StoredRecords
 from .observations import Observation, decode_observations
+from .pool import GRANT_VALID_S, MAX_SERVICES_PER_REQUEST
 from .status import STATUS_PATH, make_status
 
 if TYPE_CHECKING:
@@ -33,6 +35,11 @@
     from .state import Gateway
 
 FEEDS_PATH = "/v1/feeds"
+# Path at which followers ask for extra sends from the pool; the answer is a list of services.
+GRANTS_PATH = "/v1/grants"
+SERVICE_PARAMETER = "service"
+# A later grant could not be used.
+GRANT_TIMEOUT_S = GRANT_VALID_S / 2
 # Parameters with which a follower reports its requests in the last window of the budget, and what
 # it has observed of targets in trouble.
 INSTANCE_PARAMETER = "instance"
@@ -164,6 +171,26 @@
             return None
         return decode_response(response.body)
 
+    async def request_grants(
+        self, address: str, instance: str, services: Collection[str]
+    ) -> list[str]:
+        """Ask the reader at `address` for an extra send to each service; none on failure."""
+        parameters = [(INSTANCE_PARAMETER, instance)]
+        parameters += [(SERVICE_PARAMETER, service) for service in services]
+        response = await send_request(
+            self._session,
+            "GET",
+            f"http://{address}{GRANTS_PATH}?{urlencode(parameters)}",
+            timeout_s=GRANT_TIMEOUT_S,
+            connect_s=GRANT_TIMEOUT_S,
+        )
+        if isinstance(response, StoreFailure) or response.status != 200:
+            return []
+        try:
+            return msgspec.json.decode(response.body, type=list[str])
+        except msgspec.DecodeError:
+            return []
+
     async def fetch(self, kind: str, since: int) -> StoredRecords | None:
         """Return the changes of one kind from a random peer; None if it has none or fails."""
         if not self.addresses_by_instance:
@@ -206,6 +233,8 @@
         if request.path == STATUS_PATH:
             status = make_status(gateway, feeds_by_kind, store_status)
             return web.Response(body=msgspec.json.encode(status), content_type="application/json")
+        if request.path == GRANTS_PATH:
+            return make_grants_response(gateway, store_status, request.query)
         wait_ms = parse_integer(request.query.get("wait_ms", ""))
         revisions_by_kind = {
             kind: revision
@@ -226,6 +255,18 @@
     return SliceServer(handle)
 
 
+def make_grants_response(
+    gateway: Gateway, store_status: StoreStatus, parameters: MultiMapping[str]
+) -> web.Response:
+    """Return the services for which a follower gets an extra send; only a reader grants any."""
+    services = parameters.getall(SERVICE_PARAMETER, [])
+    is_known = parameters.get(INSTANCE_PARAMETER, "") in gateway.instances
+    if not is_known or not 0 < len(services) <= MAX_SERVICES_PER_REQUEST:
+        return web.Response(status=404)
+    granted = [] if store_status.is_following_peers else gateway.grant_extra_sends(services)
+    return web.Response(body=msgspec.json.encode(granted), content_type="application/json")
+
+
 def parse_integer(text: str) -> int | None:
     """Return an integer of at most 20 digits; None if the text is none."""
     return int(text) if INTEGER.fullmatch(text) else None
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import structlog
 
@@ -19,6 +19,7 @@
 from .observations import DomainObservations, Observation, apply_merged, collect_own
 from .pauses import PauseGuard
 from .placement import ColdShare, compute_cross_domain_rank
+from .pool import ExtraSendPool
 from .routing import RouteTable
 from .sender import Sender
 from .startup import StartGuard
@@ -135,6 +136,8 @@
         "directory",
         "routes",
         "budget",
+        "pool",
+        "request_grants",
         "sender",
         "pauses",
         "startup",
@@ -176,6 +179,11 @@
             settings.extra_send_window_s,
             now(),
         )
+        # What this instance hands out to others of its failure domain.
+        self.pool = ExtraSendPool(settings.extra_send_window_s, now())
+        # Asks for extra sends to services from the pool of the failure domain, and returns the
+        # services for which there is one. None if there is no pool.
+        self.request_grants: Callable[[Collection[str]], Awaitable[Collection[str]]] | None = None
         # None if the process does not watch for pauses.
         self.pauses: PauseGuard | None = None
         self.startup = StartGuard(now)
@@ -240,7 +248,7 @@
         self.settings = settings
         self.budget.ratio = settings.extra_send_ratio
         self.budget.slack = settings.extra_send_slack
-        self.budget.window_s = settings.extra_send_window_s
+        self.budget.window_s = self.pool.window_s = settings.extra_send_window_s
         self.update_shares()
 
     def update_shares(self) -> None:
@@ -269,6 +277,14 @@
         now = self.now()
         return self.traffic.total(self.budget.requests(now), now)
 
+    def grant_extra_sends(self, services: Collection[str]) -> list[str]:
+        """Hand out one extra send to each service, and return those for which there was one."""
+        limit, now = self.budget.pool_limit(), self.now()
+        granted = [service for service in services if self.pool.try_grant(service, limit, now)]
+        for result, count in (("granted", len(granted)), ("refused", len(services) - len(granted))):
+            self.metrics.count("gateway_pool_requests_total", count, result=result)
+        return granted
+
     def own_observations(self) -> list[Observation]:
         """Return what this instance has observed of targets in trouble."""
         return collect_own(self.directory.targets_by_id.values(), self.now())
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -209,6 +209,7 @@
         self.store_status = StoreStatus(loop.time)
         self.feeds_by_kind = make_feeds(self.gateway, self.objects, self.peers, self.store_status)
         self.follower = Follower(self.gateway, self.feeds_by_kind, self.store_status, self.peers)
+        self.gateway.request_grants = self.follower.request_grants
         self.tasks = [asyncio.create_task(feed.run()) for feed in self.feeds_by_kind.values()]
         self.tasks.append(asyncio.create_task(self.follower.run()))
         self.relay_server = make_relay_server(self.gateway, self.feeds_by_kind, self.store_status)
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -4,6 +4,7 @@
 import unittest
 
 from flamingostack.gateway.budget import ExtraSendBudget
+from flamingostack.gateway.pool import ExtraSendPool
 
 RATIO = 0.2
 SLACK = 56
@@ -38,17 +39,22 @@
     def test_slack_follows_the_requests_of_a_large_fleet_within_the_bound(self):
         # 195 instances in five failure domains, of which 73 have callers. All requests are sent
         # again, as in a crash of many targets. The rate rises fourfold and falls again; totals
-        # are two seconds old.
+        # are two seconds old. Two readers hand out the pool of each failure domain; three do if one
+        # of them was replaced, or is not known to all.
         slack, domains, size, active = 430, 5, 39, 15
         random.seed(5)
         fleets_by_kind = {}
-        for kind in ("equal", "by requests"):
+        for kind, readers in (("equal", 0), ("by requests", 2), ("with a reader too many", 3)):
+            pools = [
+                [ExtraSendPool(WINDOW_S, -20.0) for _ in range(readers)] for _ in range(domains)
+            ]
             fleet = [
                 [ExtraSendBudget(RATIO, slack, WINDOW_S, -20.0) for _ in range(size)]
                 for _ in range(domains)
             ]
             for budget in (budget for domain in fleet for budget in domain):
                 budget.instance_count = domains * size
+                budget.pooled_instances = size if readers else 0
             requests, extra_sends = [], []
             now, next_report_at, totals = 0.0, 0.0, [0] * domains
             while now < 40:
@@ -56,16 +62,20 @@
                 if now >= next_report_at:
                     next_report_at = now + 2.0
                     totals = [sum(b.requests(now) for b in domain) for domain in fleet]
-                    if kind == "by requests":
+                    if readers:
                         for domain, total in zip(fleet, totals, strict=True):
                             for budget in domain:
                                 budget.set_domain_traffic(total, size, now)
-                budget = fleet[random.randrange(domains)][random.randrange(active)]
+                domain = random.randrange(domains)
+                budget = fleet[domain][random.randrange(active)]
                 budget.count_query(now)
                 budget.count_request("s", now)
                 requests.append(now)
                 for _ in range(2):
-                    if budget.try_spend("s", now):
+                    pool = random.choice(pools[domain]) if readers else None
+                    if budget.try_spend("s", now) or (
+                        pool is not None and pool.try_grant("s", budget.pool_limit(), now)
+                    ):
                         extra_sends.append(now)
             for start in (step / 4 for step in range(0, 120)):
                 spent = sum(start <= at < start + WINDOW_S for at in extra_sends)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -3,6 +3,9 @@
 import unittest
 import zlib
 
+from flamingostack.gateway.budget import POOL_SLACK_SHARE, USABLE_BUDGET_SHARE
+from flamingostack.gateway.pool import MAX_SERVICES_PER_REQUEST
+from flamingostack.gateway.readers import READERS_PER_DOMAIN
 from flamingostack.gateway.relay import (
     RelayChanges,
     RelayFreshness,
@@ -12,6 +15,7 @@
     decode_response,
 )
 from flamingostack.store import MAX_RESPONSE_BYTES
+from standins.hostile import HostileTarget, Write
 
 from .fakes import (
     HOST,
@@ -27,6 +31,51 @@
 ROUTE = make_route("one", service="one")
 
 
+class GrantsTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against extra sends that are handed out by an instance that may not, or to nobody."""
+
+    async def asyncSetUp(self):
+        self.running = await self.start_gateway({"one": [FakeTarget()]}, [ROUTE])
+        self.address = f"{HOST}:{self.running.relay_port}"
+        gateway = self.running.gateway
+        gateway.instances.add("front-a-1")
+        gateway.pool.started_at -= gateway.pool.window_s
+        # A pool of four for each reader.
+        gateway.budget.instance_count = gateway.budget.pooled_instances = 10
+        gateway.budget.slack = 4.5 * READERS_PER_DOMAIN / POOL_SLACK_SHARE / USABLE_BUDGET_SHARE
+
+    async def request(self, *services: str, instance: str = "front-a-1") -> list[str]:
+        return await self.running.peers.request_grants(self.address, instance, services)
+
+    async def test_reader_grants_up_to_its_part_of_the_pool(self):
+        # The follower of the fakes selects the instances anew all the time.
+        self.running.tasks[-1].cancel()
+        self.assertEqual(await self.request("s1", "s2"), ["s1", "s2"])
+        granted = [await self.request("s1") for _ in range(5)]
+        self.assertEqual(granted, [["s1"]] * 3 + [[]] * 2)
+        self.assertEqual(await self.request("s2"), ["s2"])
+
+    async def test_follower_grants_nothing(self):
+        self.running.store_status.set_following_peers(True)
+        self.assertEqual(await self.request("s1"), [])
+
+    async def test_requests_that_are_not_in_order_get_nothing(self):
+        self.assertEqual(await self.request("s1", instance="unknown"), [])
+        self.assertEqual(await self.request(), [])
+        self.assertEqual(await self.request(*["s1"] * (MAX_SERVICES_PER_REQUEST + 1)), [])
+
+    async def test_reader_that_answers_anything_else_or_nothing_grants_nothing(self):
+        for answer in (b"[1]", b"{", b"null", b'["s1"'):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer)
+            hostile = HostileTarget(lambda _, head=head, answer=answer: [Write(head + answer)])
+            await hostile.start()
+            self.addAsyncCleanup(hostile.stop)
+            self.address = f"{HOST}:{hostile.port}"
+            self.assertEqual(await self.request("s1"), [], answer)
+        self.address = f"{HOST}:1"
+        self.assertEqual(await self.request("s1"), [])
+
+
 class RelayTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
     """Guards against an instance that stays stale because the store rejects its calls."""
 
