Refuse what waits to catch up before the process ends

Ruled out: a late caller; the instance logged "paused" and "requests_cut" and the caller had written.

Change: these waits end with the time for answers; such a request is refused as not run.

Conclusion: at a load of three for each core a stop of 3 s may still end in the kill of the platform.

--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 from ..errors import Failure, Reason
@@ -179,7 +180,9 @@
             now = self.gateway.now()
             match self.plan.decide(now):
                 case Send(parts=parts):
-                    await self.gateway.wait_after_pause()
+                    with contextlib.suppress(TimeoutError):
+                        async with asyncio.timeout_at(self.plan.deadline):
+                            await self.gateway.wait_after_pause()
                     now = self.gateway.now()
                     for part in parts:
                         self._send(part, now)
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -16,7 +16,14 @@
 from .fanout import PartState
 from .listener import SliceConnection, SliceServer
 from .model import CallerLimits, FanOut, Route, SingleService, WeightedServices
-from .query import Caller, QueryFailure, QueryReason, QueryRun, make_plan
+from .query import (
+    ANSWER_RESERVE_S,
+    Caller,
+    QueryFailure,
+    QueryReason,
+    QueryRun,
+    make_plan,
+)
 from .records import merge_records
 from .routing import draw_service
 from .sender import OutgoingRequest, SendResult
@@ -174,7 +181,6 @@
 async def handle_request(gateway: Gateway, request: web.BaseRequest) -> web.Response:
     """Check a request, find its route and execute it."""
     arrived_at = gateway.now() - request.protocol.take_waiting_time_s()
-    await gateway.wait_after_pause()
     request_id = messages.read_request_id(request.headers)
     if not request_id.isascii():
         # Such an id cannot be returned with the answer.
@@ -184,7 +190,8 @@
     refusal = check_limits(gateway, request)
     if refusal is not None:
         return refuse_request(gateway, request_id, *refusal)
-    await gateway.wait_for_state()
+    if not await wait_for_present_state(gateway):
+        return refuse_request(gateway, request_id, 503, "shutting_down", NOT_READY_RETRY_AFTER_S)
     if not gateway.knows_state:
         return refuse_request(gateway, request_id, 503, "no_configuration", NOT_READY_RETRY_AFTER_S)
     host, path = messages.split_target(request.raw_path, request.headers.get("Host", ""))
@@ -211,6 +218,17 @@
     return await execute_request(gateway, outgoing, route, caller)
 
 
+async def wait_for_present_state(gateway: Gateway) -> bool:
+    """Wait until the state is known and up to date; return False if the process ends before."""
+    try:
+        async with asyncio.timeout_at(gateway.answer_until - ANSWER_RESERVE_S):
+            await gateway.wait_after_pause()
+            await gateway.wait_for_state()
+    except TimeoutError:
+        return False
+    return True
+
+
 async def execute_request(
     gateway: Gateway, request: OutgoingRequest, route: Route, caller: Caller
 ) -> web.Response:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -42,7 +42,7 @@
 
     async def run(self) -> None:
         """Send requests to random routes at random intervals until cancelled."""
-        async with make_session(connector=aiohttp.TCPConnector(limit=1)) as session:
+        async with make_caller_session() as session:
             while True:
                 await asyncio.sleep(self.rng.expovariate(REQUESTS_PER_S))
                 outcome = await self.send(session, self.rng.choice(list(METHODS_BY_ROUTE)))
@@ -51,7 +51,7 @@
 
     async def probe(self) -> None:
         """Request the route of the newest configuration version every 0.2 s until cancelled."""
-        async with make_session(connector=aiohttp.TCPConnector(limit=1)) as session:
+        async with make_caller_session() as session:
             while True:
                 await asyncio.sleep(0.2)
                 await self.send(session, f"v{self.environment.version}")
@@ -96,10 +96,31 @@
         }
         url = f"http://{self.instance.host}:{CALLER_PORT}{outcome.path}"
         async with session.request(
-            outcome.method, url, headers=headers, data=outcome.body or None
+            outcome.method,
+            url,
+            headers=headers,
+            data=outcome.body or None,
+            trace_request_ctx=outcome,
         ) as response:
             body = await response.read()
             outcome.was_connected = True
             outcome.headers = dict(response.headers)
             outcome.response_body = body
             outcome.status = response.status
+
+
+def make_caller_session() -> aiohttp.ClientSession:
+    """Return a session with one connection that records when the head of a request is written.
+
+    Each request is passed its `Outcome` as the trace context.
+    """
+
+    async def record_written(_session, context, _parameters) -> None:
+        context.trace_request_ctx.written_at = asyncio.get_running_loop().time()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(record_written)
+    trace.freeze()
+    session = make_session(connector=aiohttp.TCPConnector(limit=1))
+    session.trace_configs.append(trace)
+    return session
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -291,8 +291,9 @@
 
     Counted are requests sent from 1 s before SIGTERM until the exit that ended without a response,
     and not because the caller cancelled them. Not counted are requests that a fault of the process
-    or of a target may have interrupted, and those that were never forwarded and failed within
-    CLOSE_RACE_SLACK_S, since the connection may have been closed while they were sent.
+    or of a target may have interrupted, and those that were never forwarded and either were not
+    written, or failed within CLOSE_RACE_SLACK_S after that, since the connection may have been
+    closed meanwhile. A caller on a busy machine may write long after it has connected.
     """
     arrivals_by_id = defaultdict(list)
     for arrival in environment.ledger.arrivals:
@@ -316,13 +317,13 @@
                     for a in arrivals
                 ):
                     continue
-                elapsed_s = outcome.ended_at - outcome.sent_at
+                elapsed_s = outcome.ended_at - outcome.written_at if outcome.written_at else 0.0
                 if arrivals or elapsed_s > CLOSE_RACE_SLACK_S:
                     after_s = outcome.sent_at - began_at
                     yield (
                         f"{outcome.request_id} on {instance.name}: sent {after_s:.2f} s after the "
                         f"signal, passed on {len(arrivals)} times, {outcome.error} after "
-                        f"{elapsed_s:.2f} s; the soak was late by "
+                        f"{elapsed_s:.2f} s from its head on; the soak was late by "
                         f"{environment.max_lag_s:.2f} s at most"
                     )
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -42,6 +42,8 @@
     path: str
     body: bytes
     sent_at: float
+    # When its head was written to a connection; 0 if it never was, as far as the caller knows.
+    written_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -221,3 +221,46 @@
         await wait_until(lambda: connection._waiter is not None)
         connection.close_if_idle()
         self.assertEqual(await read_statuses([client]), [b""])
+
+
+class PausedStopTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against a request that waits to catch up after a pause until the process has ended.
+
+    The load is that of a busy machine: the process stood still during its stop, and is to end
+    before it can know what has changed.
+    """
+
+    async def start(self, free_waits: int):
+        """Start a gateway whose requests wait for good, but for the first ones."""
+        self.target = FakeTarget()
+        running = await self.start_gateway(
+            {"one": [self.target]}, [make_route("one", service="one", timeoutMs=5000)]
+        )
+        running.gateway.pauses = mock.Mock(wait=self.make_wait(free_waits))
+        running.gateway.answer_until = running.gateway.now() + 0.3
+        return running
+
+    def make_wait(self, free_waits: int):
+        waits = iter([True] * free_waits)
+
+        async def wait():
+            if not next(waits, False):
+                await asyncio.Event().wait()
+
+        return wait
+
+    async def get(self, running) -> tuple[int, bytes]:
+        headers = {"X-Deadline-Milliseconds": "5000"}
+        async with asyncio.timeout(2):
+            status, headers, body = await running.get("/one/x", headers=headers)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(self.target.requests, [])
+        return status, body
+
+    async def test_request_that_has_just_arrived_is_refused(self):
+        running = await self.start(free_waits=0)
+        self.assertEqual(await self.get(running), (503, b"shutting_down"))
+
+    async def test_request_that_was_about_to_be_sent_is_refused(self):
+        running = await self.start(free_waits=1)
+        self.assertEqual(await self.get(running), (503, b"deadline"))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -155,6 +155,19 @@
         self.add_arrival("r2", "one")
         self.assertEqual(self.count_violations(checks.check_stops), 1)
 
+    def test_request_that_a_stop_cuts_unread_counts_from_its_head_on(self):
+        instance = type("Stopped", (), {"name": "front-a-0", "stops": [(9.9, 12.0)]})()
+        self.environment.instances = [instance]
+        fields = {"status": 0, "error": "closed", "ended_at": 11.0}
+        # The caller had a connection for a second, but wrote nothing, or just before its end.
+        self.add_outcome("r2", "one", **fields)
+        self.add_outcome("r3", "one", written_at=10.6, **fields)
+        self.assertEqual(self.count_violations(checks.check_stops), 0)
+        self.add_outcome("r4", "one", written_at=10.4, **fields)
+        self.assertEqual(self.count_violations(checks.check_stops), 1)
+        self.add_arrival("r2", "one")
+        self.assertEqual(self.count_violations(checks.check_stops), 2)
+
     def test_callers_that_are_not_served_after_the_faults_are_found(self):
         self.environment.recovery_check_from = 9.0
         self.assertEqual(self.count_violations(checks.check_recovery), 0)
