Log what targets say of themselves with their answers

Cause: a target that leaves says so with the header Server-Leaving. Nothing read it, and no log line told it, so a request to a leaving target could not be traced to what the instance had been told.

Ruled out: a line for each answer; one for each target when its word is new is enough, since request_answered names the targets of each request.

Change: TargetNotice, decoded in platform/messages.py; the event target_notice with the word of the store beside it, gateway_target_notices_total, and both in flamingostack explain. No decision depends on it yet.

Conclusion: target_changed without draining after a target_notice shows a target that was forgotten; request_answered with a target after its target_notice shows a send that did not ask.

--- a/flamingostack/cli/logs.py
+++ b/flamingostack/cli/logs.py
@@ -30,7 +30,7 @@
 ANSWER_EVENTS = frozenset({"request_answered", "request_refused", "request_broken"})
 SEND_EVENTS = frozenset({"extra_send", "send_failed"})
 # The last of these lines before the request tell what its instance knew.
-TARGET_EVENTS = frozenset({"target_changed", "target_removed"})
+TARGET_EVENTS = frozenset({"target_changed", "target_removed", "target_notice"})
 STORE_EVENTS = frozenset({"store_lost", "store_regained"})
 SOURCE_EVENTS = frozenset({"store_watched", "store_followed"})
 KNOWLEDGE_EVENTS = (
@@ -73,6 +73,8 @@
     match event["event"]:
         case "target_changed" | "target_removed":
             return f"target {event.get('target')}"
+        case "target_notice":
+            return f"notice of {event.get('target')}"
         case "store_lost" | "store_regained":
             return f"store {event.get('kind')}"
         case "store_watched" | "store_followed":
--- a/flamingostack/gateway/model.py
+++ b/flamingostack/gateway/model.py
@@ -254,6 +254,15 @@
         self.is_whole = is_whole
 
 
+class TargetNotice:
+    """What a target says of itself with an answer."""
+
+    __slots__ = ("is_leaving",)
+
+    def __init__(self, *, is_leaving: bool = False) -> None:
+        self.is_leaving = is_leaving
+
+
 class TargetLoad:
     """Load that a target reports with an answer, in numbers of requests."""
 
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -302,6 +302,8 @@
         )
         if result.outcome is SendOutcome.ANSWERED:
             self.stats.latency.record(result.elapsed_s)
+        if result.notice is not None:
+            self.gateway.record_notice(target, result.notice, self.request.id)
         self._results.put_nowait((part, target, result))
 
     def _handle_result(self, part: Part, target: Target, result: SendResult) -> None:
--- a/flamingostack/gateway/sender.py
+++ b/flamingostack/gateway/sender.py
@@ -13,6 +13,7 @@
     encode_request,
     encode_send_headers,
     read_load,
+    read_notice,
 )
 from .connection import (
     MAX_ANSWER_BYTES,
@@ -23,6 +24,7 @@
     TargetConnection,
     TargetResponse,
 )
+from .model import TargetNotice
 from .targets import Target
 
 # A dropped SYN is retransmitted only after one second; trying another target before that is faster.
@@ -83,6 +85,13 @@
         load = read_load(self.headers)
         return load is None or load.running + load.waiting >= load.slots
 
+    @property
+    def notice(self) -> TargetNotice | None:
+        """What the target says of itself; None if there is no answer of this target."""
+        if self.headers is None or self.outcome is SendOutcome.WRONG_TARGET:
+            return None
+        return read_notice(self.headers)
+
     def describe_load(self) -> str:
         """Return the reported load as "running,waiting,slots" for a log line, empty without one."""
         load = read_load(self.headers) if self.headers is not None else None
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -15,7 +15,7 @@
 from .budget import ExtraSendBudget
 from .directory import Directory
 from .fanout import MIN_HEDGE_LATENCIES
-from .model import Configuration, InstanceSettings, Route
+from .model import Configuration, InstanceSettings, Route, TargetNotice
 from .observations import DomainObservations, Observation, apply_merged, collect_own
 from .pauses import PauseGuard
 from .placement import ColdShare, compute_cross_domain_rank
@@ -23,6 +23,7 @@
 from .routing import RouteTable
 from .sender import Sender
 from .startup import StartGuard
+from .targets import Target
 from .traffic import DomainTraffic
 
 # Default median and slow latency of a part, as shares of the route's latency objective; used until
@@ -285,6 +286,19 @@
             self.metrics.count("gateway_pool_requests_total", count, result=result)
         return granted
 
+    def record_notice(self, target: Target, notice: TargetNotice, request_id: str) -> None:
+        """Record what a target says of itself with the answer to a request; log what is new."""
+        if target.record_notice(notice):
+            self.metrics.count("gateway_target_notices_total", kind="leaving")
+            self.log.info(
+                "target_notice",
+                target=target.entry.id,
+                service=target.entry.service,
+                leaving=target.is_leaving,
+                draining=target.entry.is_draining,
+                request_id=request_id,
+            )
+
     def own_observations(self) -> list[Observation]:
         """Return what this instance has observed of targets in trouble."""
         return collect_own(self.directory.targets_by_id.values(), self.now())
--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -8,7 +8,7 @@
 
 import math
 
-from .model import TargetEntry, TargetLoad
+from .model import TargetEntry, TargetLoad, TargetNotice
 
 # An observed slowdown or failure rate halves in this time, so that a recovered target is tried
 # again. A failed attempt costs another send, a slow one often only time.
@@ -61,6 +61,7 @@
         "load",
         "load_at",
         "is_misdirected",
+        "is_leaving",
         "cold_send_times",
     )
 
@@ -95,6 +96,8 @@
         # Another target has answered at the address, or the entry was removed or replaced. This one
         # must not be chosen again.
         self.is_misdirected = False
+        # The target has said with an answer that it leaves.
+        self.is_leaving = False
         # Send times within the last second; recorded only while the target is cold.
         self.cold_send_times: list[float] = []
 
@@ -114,6 +117,12 @@
             entry.service,
         )
 
+    def record_notice(self, notice: TargetNotice) -> bool:
+        """Record what the target says of itself; return whether that is new."""
+        is_new = notice.is_leaving and not self.is_leaving
+        self.is_leaving |= notice.is_leaving
+        return is_new
+
     def record_send_start(self, send_id: int, now: float) -> None:
         """Record that a send has started."""
         self.in_flight += 1
--- a/flamingostack/platform/messages.py
+++ b/flamingostack/platform/messages.py
@@ -8,7 +8,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from ..gateway.model import TargetLoad
+from ..gateway.model import TargetLoad, TargetNotice
 
 READINESS_PATH = "/-/readiness"
 
@@ -20,6 +20,7 @@
 EXPECTED_TARGET = "X-Expected-Instance"
 LOAD = "X-Server-Load"
 NOT_RUN = "X-Not-Executed"
+LEAVING = "Server-Leaving"
 PART_SIGNATURES = "X-Part-Stamps"
 MISSING_PARTS = "X-Missing-Parts"
 RETRY_AFTER = "Retry-After"
@@ -185,6 +186,11 @@
     return TargetLoad(running, waiting, slots) if slots > 0 else None
 
 
+def read_notice(headers: CIMultiDict[str]) -> TargetNotice:
+    """Return what a target says of itself with an answer."""
+    return TargetNotice(is_leaving="1" in (text.strip() for text in headers.getall(LEAVING, ())))
+
+
 def select_response_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     """Return the headers of a target's response that are returned to the caller."""
     connection_headers = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -11,6 +11,7 @@
     encode_send_headers,
     make_refusal_headers,
     read_load,
+    read_notice,
     read_time_left_s,
     select_request_headers,
     select_response_headers,
@@ -104,6 +105,14 @@
         for text in ("", "3,1", "a,b,c", "1,1,0"):
             self.assertIsNone(read_load({"X-Server-Load": text}), text)
 
+    def test_target_leaves_only_by_its_own_clear_word(self):
+        for value, is_leaving in (("1", True), (" 1 ", True), ("0", False), ("", False)):
+            headers = make_headers(("server-leaving", value))
+            self.assertEqual(read_notice(headers).is_leaving, is_leaving, value)
+        self.assertFalse(read_notice(make_headers()).is_leaving)
+        twice = make_headers(("Server-Leaving", "0"), ("Server-Leaving", "1"))
+        self.assertTrue(read_notice(twice).is_leaving)
+
     def test_retry_after_may_be_a_fraction(self):
         self.assertEqual(make_refusal_headers("r1", 0.25)["Retry-After"], "0.250")
         self.assertNotIn("Retry-After", make_refusal_headers("r1", None))
