--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -1,8 +1,11 @@
 """Tests of what targets say of themselves with their answers."""
 
+import asyncio
 import unittest
 
-from .fakes import FakeTarget, GatewayCase, make_route
+from aiohttp import web
+
+from .fakes import FakeTarget, GatewayCase, RunningGateway, make_route, wait_until
 
 
 async def answer_leaving(target, request):
@@ -25,3 +28,78 @@
         self.assertEqual(event["request_id"], "r1")
         self.assertTrue(event["leaving"])
         self.assertFalse(event["draining"])
+
+
+class LeavingTargetTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against DRAIN: sends to a target that has said that it leaves."""
+
+    async def start(self, *others: FakeTarget, **route) -> RunningGateway:
+        self.leaving = FakeTarget(answer_leaving)
+        routes = [make_route("one", service="s", **route)]
+        running = await self.start_gateway({"s": [self.leaving]}, routes)
+        await running.get("/one/a", "first")
+        self.assertEqual(len(self.leaving.requests), 1)
+        for other in others:
+            await other.start()
+            self.addAsyncCleanup(other.stop)
+            self.store.put("servers", other.id, other.entry("s"))
+        known = running.gateway.directory.targets_by_id
+        await wait_until(lambda: len(known) == 1 + len(others))
+        return running
+
+    async def test_first_sends_go_elsewhere_though_the_store_does_not_tell(self):
+        running = await self.start(FakeTarget())
+        for number in range(10):
+            status, _, _ = await running.get("/one/a", f"r{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self.leaving.requests), 1)
+
+    async def test_request_without_another_target_is_refused_at_once(self):
+        running = await self.start()
+        status, headers, _ = await running.get("/one/a", "r1")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(len(self.leaving.requests), 1)
+
+    async def test_retries_and_hedges_go_elsewhere(self):
+        async def refuse(target, request):
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+
+        async def hang(target, request):
+            await asyncio.sleep(2)
+            return target.answer(request)
+
+        running = await self.start(FakeTarget(refuse), FakeTarget(hang), maxAttempts=4)
+        for number in range(4):
+            await running.get("/one/a", f"r{number}", headers={"X-Deadline-Milliseconds": "300"})
+        self.assertEqual(len(self.leaving.requests), 1)
+
+    async def test_entry_that_expires_and_returns_does_not_make_it_usable(self):
+        running = await self.start()
+        known = running.gateway.directory.targets_by_id
+        self.store.delete("servers", self.leaving.id)
+        await wait_until(lambda: self.leaving.id not in known)
+        self.store.put("servers", self.leaving.id, self.leaving.entry("s"))
+        await wait_until(lambda: self.leaving.id in known)
+        status, _, _ = await running.get("/one/a", "r1")
+        self.assertEqual(status, 503)
+        self.assertEqual(len(self.leaving.requests), 1)
+
+    async def test_target_that_started_again_is_used(self):
+        running = await self.start()
+        self.leaving.behaviour = None
+        self.store.put("servers", self.leaving.id, self.leaving.entry("s", born=5))
+        known = running.gateway.directory.targets_by_id
+        await wait_until(lambda: known[self.leaving.id].entry.started_ms == 5)
+        status, _, _ = await running.get("/one/a", "r1")
+        self.assertEqual(status, 200)
+
+    async def test_word_of_another_target_at_the_address_does_not_count(self):
+        async def misdirect(target, request):
+            return web.Response(status=421, headers={"Server-Leaving": "1"})
+
+        target = FakeTarget(misdirect)
+        routes = [make_route("one", service="s")]
+        running = await self.start_gateway({"s": [target]}, routes)
+        await running.get("/one/a", "r1")
+        self.assertNotIn("target_notice", [event["event"] for event in running.events])
