Send nothing more to a target that has said that it leaves

They were answered as long as the target lived, and then lost or late.

Cause: whether a target leaves was taken from its entry in the store alone. While the store is down, silent or turns the instance away, the target's answers are the only source, and Server-Leaving in them was not read. What was observed of a target also died with its entry: one that expired in an outage and was listed again came back as if it had said nothing.

Ruled out: sharing the word with other instances, since the rule and the word concern one instance; a fallback to leaving targets for the time that the rule leaves, since a draining entry has none either.

Change: TargetNotices belongs to one incarnation of a target (id, start, address, service) and outlives its entry for 600 s, 4,096 at most. Target.is_draining asks entry and notices; placement, which every send passes, the directory and the status use it. A target that has started again is asked as before, and what another target at the address says (421) does not count.

--- a/flamingostack/gateway/directory.py
+++ b/flamingostack/gateway/directory.py
@@ -7,6 +7,7 @@
 
 from .marks import NO_MARKS
 from .model import TargetEntry
+from .notices import KeptNotices
 from .targets import Target
 
 # Entries that expired during a store outage reappear within about two seconds after its end.
@@ -37,6 +38,7 @@
         "marks",
         "unlisted_exclusions",
         "_removal_times_by_id",
+        "_kept_notices",
     )
 
     def __init__(self) -> None:
@@ -47,6 +49,7 @@
         # What a process that has just started does not know yet of what is out of service.
         self.unlisted_exclusions = {Exclusion.EVACUATIONS, Exclusion.MARKS}
         self._removal_times_by_id: dict[str, float] = {}
+        self._kept_notices = KeptNotices()
 
     def usable_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that no evacuation and no mark takes out of service."""
@@ -64,7 +67,7 @@
     def is_serving(self, target_id: str) -> bool:
         """Return whether a target is known and not draining."""
         target = self.targets_by_id.get(target_id)
-        return target is not None and not target.entry.is_draining
+        return target is not None and not target.is_draining
 
     def put(self, entry: TargetEntry, now: float) -> Target:
         """Add a target, or update its entry; a restarted target replaces the known one."""
@@ -74,8 +77,8 @@
             known_target.update(entry, now)
             return known_target
         if known_target is not None:
-            self._discard(entry.id)
-        target = Target(entry, now)
+            self._discard(entry.id, now)
+        target = Target(entry, now, self._kept_notices.take(entry, now))
         self.targets_by_id[entry.id] = target
         self.targets_by_service.setdefault(entry.service, []).append(target)
         return target
@@ -85,10 +88,10 @@
         target = self.targets_by_id.get(target_id)
         if target is None:
             return
-        if may_return and not target.entry.is_draining:
+        if may_return and not target.is_draining:
             self._removal_times_by_id.setdefault(target_id, now + ENTRY_RETURN_GRACE_S)
         else:
-            self._discard(target_id)
+            self._discard(target_id, now)
 
     def replace_all(self, entries: Iterable[TargetEntry], now: float, may_return: bool) -> None:
         """Replace all entries, and remove the targets that are not listed."""
@@ -105,7 +108,7 @@
         """Remove the targets whose grace period has ended, and return their ids."""
         due_ids = [target_id for target_id, at in self._removal_times_by_id.items() if at <= now]
         for target_id in due_ids:
-            self._discard(target_id)
+            self._discard(target_id, now)
         return due_ids
 
     @property
@@ -122,9 +125,10 @@
         """Time of the next delayed removal, None if there is none."""
         return min(self._removal_times_by_id.values(), default=None)
 
-    def _discard(self, target_id: str) -> None:
+    def _discard(self, target_id: str, now: float) -> None:
         self._removal_times_by_id.pop(target_id, None)
         target = self.targets_by_id.pop(target_id)
+        self._kept_notices.keep(target.entry, target.notices, now)
         # Requests in flight may still reference the target; it must not be chosen again.
         target.is_misdirected = True
         remaining = [t for t in self.targets_by_service[target.entry.service] if t is not target]
--- /dev/null
+++ b/flamingostack/gateway/notices.py
@@ -0,0 +1,62 @@
+"""What targets say of themselves with their answers, kept for as long as a target runs.
+
+It handles the load pattern in which a target asks for less while the store cannot tell: the store
+is down, silent or turns the instance away, or the entry of the target has expired.
+"""
+
+from __future__ import annotations
+
+from .model import TargetEntry, TargetNotice
+
+# A target that leaves ends some seconds later; this is long enough for an outage meanwhile.
+KEEP_AFTER_REMOVAL_S = 600.0
+MAX_KEPT = 4096
+
+Incarnation = tuple[str, int, str, int, str]
+
+
+class TargetNotices:
+    """What one incarnation of a target has said of itself."""
+
+    __slots__ = ("is_leaving",)
+
+    def __init__(self) -> None:
+        self.is_leaving = False
+
+    def record(self, notice: TargetNotice) -> bool:
+        """Record a notice; return whether it tells something new. Leaving is final."""
+        is_new = notice.is_leaving and not self.is_leaving
+        self.is_leaving |= notice.is_leaving
+        return is_new
+
+
+class KeptNotices:
+    """Notices of targets whose entries were removed, in case the same incarnation is listed again.
+
+    Times are in seconds of the event loop's clock.
+    """
+
+    __slots__ = ("_kept_by_incarnation",)
+
+    def __init__(self) -> None:
+        self._kept_by_incarnation: dict[Incarnation, tuple[float, TargetNotices]] = {}
+
+    def keep(self, entry: TargetEntry, notices: TargetNotices, now: float) -> None:
+        """Keep the notices of a target that is removed, if it has said anything."""
+        if not notices.is_leaving:
+            return
+        self._kept_by_incarnation[get_incarnation(entry)] = (now, notices)
+        if len(self._kept_by_incarnation) > MAX_KEPT:
+            del self._kept_by_incarnation[next(iter(self._kept_by_incarnation))]
+
+    def take(self, entry: TargetEntry, now: float) -> TargetNotices:
+        """Return the notices of a target that is listed, new ones if none are kept."""
+        kept_at, notices = self._kept_by_incarnation.pop(get_incarnation(entry), (now, None))
+        if notices is None or now - kept_at >= KEEP_AFTER_REMOVAL_S:
+            return TargetNotices()
+        return notices
+
+
+def get_incarnation(entry: TargetEntry) -> Incarnation:
+    """Return what differs between two runs of targets, also if they have the same id."""
+    return entry.id, entry.started_ms, entry.host, entry.port, entry.service
--- a/flamingostack/gateway/placement.py
+++ b/flamingostack/gateway/placement.py
@@ -116,7 +116,7 @@
 
 def can_accept(target: Target, now: float, cold_sends_per_s: int | None) -> bool:
     """Return whether a target can accept a send now."""
-    if target.entry.is_draining or target.is_misdirected or now < target.paused_until:
+    if target.is_draining or target.is_misdirected or now < target.paused_until:
         return False
     if target.in_flight >= target.max_connections:
         return False
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -288,13 +288,13 @@
 
     def record_notice(self, target: Target, notice: TargetNotice, request_id: str) -> None:
         """Record what a target says of itself with the answer to a request; log what is new."""
-        if target.record_notice(notice):
+        if target.notices.record(notice):
             self.metrics.count("gateway_target_notices_total", kind="leaving")
             self.log.info(
                 "target_notice",
                 target=target.entry.id,
                 service=target.entry.service,
-                leaving=target.is_leaving,
+                leaving=target.notices.is_leaving,
                 draining=target.entry.is_draining,
                 request_id=request_id,
             )
--- a/flamingostack/gateway/status.py
+++ b/flamingostack/gateway/status.py
@@ -64,7 +64,7 @@
         sources=list(store_status.sources),
         instances=len(gateway.instances),
         targets=len(targets),
-        draining_targets=sum(target.entry.is_draining for target in targets),
+        draining_targets=sum(target.is_draining for target in targets),
         paused_targets=sum(now < target.paused_until for target in targets),
         evacuated_domains=sorted(gateway.directory.evacuated_domains),
         marks=gateway.directory.marks.list_names(),
--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -8,7 +8,8 @@
 
 import math
 
-from .model import TargetEntry, TargetLoad, TargetNotice
+from .model import TargetEntry, TargetLoad
+from .notices import TargetNotices, get_incarnation
 
 # An observed slowdown or failure rate halves in this time, so that a recovered target is tried
 # again. A failed attempt costs another send, a slow one often only time.
@@ -40,6 +41,7 @@
 
     __slots__ = (
         "entry",
+        "notices",
         "cold_until",
         "in_flight",
         "start_times_by_send",
@@ -61,12 +63,14 @@
         "load",
         "load_at",
         "is_misdirected",
-        "is_leaving",
         "cold_send_times",
     )
 
-    def __init__(self, entry: TargetEntry, now: float) -> None:
+    def __init__(
+        self, entry: TargetEntry, now: float, notices: TargetNotices | None = None
+    ) -> None:
         self.entry = entry
+        self.notices = notices or TargetNotices()
         self.cold_until = now + entry.cold_s
         self.in_flight = 0
         self.start_times_by_send: dict[int, float] = {}
@@ -96,8 +100,6 @@
         # Another target has answered at the address, or the entry was removed or replaced. This one
         # must not be chosen again.
         self.is_misdirected = False
-        # The target has said with an answer that it leaves.
-        self.is_leaving = False
         # Send times within the last second; recorded only while the target is cold.
         self.cold_send_times: list[float] = []
 
@@ -109,19 +111,12 @@
 
     def is_same_incarnation(self, entry: TargetEntry) -> bool:
         """Return whether an entry has the same start time, address and service."""
-        known = self.entry
-        return (known.started_ms, known.host, known.port, known.service) == (
-            entry.started_ms,
-            entry.host,
-            entry.port,
-            entry.service,
-        )
-
-    def record_notice(self, notice: TargetNotice) -> bool:
-        """Record what the target says of itself; return whether that is new."""
-        is_new = notice.is_leaving and not self.is_leaving
-        self.is_leaving |= notice.is_leaving
-        return is_new
+        return get_incarnation(self.entry) == get_incarnation(entry)
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the target leaves, by its entry or by its own word."""
+        return self.entry.is_draining or self.notices.is_leaving
 
     def record_send_start(self, send_id: int, now: float) -> None:
         """Record that a send has started."""
