Log the limits that targets name with their answers

Cause: no log line told which limit of requests an instance knows of a target.

Ruled out: a line for each answer; target_notice is written when the value changes or ends.

Change: Server-Limit is decoded in platform/messages.py into requests a second, infinite without the header; the lowest counts if several are named, and a malformed value changes nothing. target_notice has requests_per_s. No decision depends on it yet.

--- a/flamingostack/gateway/model.py
+++ b/flamingostack/gateway/model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 Address = tuple[str, int]
 
 
@@ -255,12 +257,17 @@
 
 
 class TargetNotice:
-    """What a target says of itself with an answer."""
+    """What a target says of itself with an answer.
+
+    `requests_per_s` is how many requests a second it takes from all instances together: infinite
+    if it names no limit, None if what it names cannot be read.
+    """
 
-    __slots__ = ("is_leaving",)
+    __slots__ = ("is_leaving", "requests_per_s")
 
-    def __init__(self, *, is_leaving: bool = False) -> None:
+    def __init__(self, *, is_leaving: bool = False, requests_per_s: float | None = inf) -> None:
         self.is_leaving = is_leaving
+        self.requests_per_s = requests_per_s
 
 
 class TargetLoad:
--- a/flamingostack/gateway/notices.py
+++ b/flamingostack/gateway/notices.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from .model import TargetEntry, TargetNotice
 
 # A target that leaves ends some seconds later; this is long enough for an outage meanwhile.
@@ -16,18 +18,27 @@
 
 
 class TargetNotices:
-    """What one incarnation of a target has said of itself."""
+    """What one incarnation of a target has said of itself.
+
+    `requests_per_s` is the limit that its last answer has named, infinite without one.
+    """
 
-    __slots__ = ("is_leaving",)
+    __slots__ = ("is_leaving", "requests_per_s")
 
     def __init__(self) -> None:
         self.is_leaving = False
-
-    def record(self, notice: TargetNotice) -> bool:
-        """Record a notice; return whether it tells something new. Leaving is final."""
-        is_new = notice.is_leaving and not self.is_leaving
-        self.is_leaving |= notice.is_leaving
-        return is_new
+        self.requests_per_s = inf
+
+    def record(self, notice: TargetNotice) -> list[str]:
+        """Record a notice; return the kinds of what is new in it. Leaving is final."""
+        kinds = []
+        if notice.is_leaving and not self.is_leaving:
+            self.is_leaving = True
+            kinds.append("leaving")
+        if notice.requests_per_s not in (None, self.requests_per_s):
+            self.requests_per_s = notice.requests_per_s
+            kinds.append("limit")
+        return kinds
 
 
 class KeptNotices:
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -288,13 +288,16 @@
 
     def record_notice(self, target: Target, notice: TargetNotice, request_id: str) -> None:
         """Record what a target says of itself with the answer to a request; log what is new."""
-        if target.notices.record(notice):
-            self.metrics.count("gateway_target_notices_total", kind="leaving")
+        kinds = target.notices.record(notice)
+        for kind in kinds:
+            self.metrics.count("gateway_target_notices_total", kind=kind)
+        if kinds:
             self.log.info(
                 "target_notice",
                 target=target.entry.id,
                 service=target.entry.service,
                 leaving=target.notices.is_leaving,
+                requests_per_s=target.notices.requests_per_s,
                 draining=target.entry.is_draining,
                 request_id=request_id,
             )
--- a/flamingostack/platform/messages.py
+++ b/flamingostack/platform/messages.py
@@ -5,6 +5,7 @@
 import enum
 import re
 from collections.abc import Iterable, Mapping
+from math import inf
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
@@ -21,6 +22,7 @@
 LOAD = "X-Server-Load"
 NOT_RUN = "X-Not-Executed"
 LEAVING = "Server-Leaving"
+LIMIT = "Server-Limit"
 PART_SIGNATURES = "X-Part-Stamps"
 MISSING_PARTS = "X-Missing-Parts"
 RETRY_AFTER = "Retry-After"
@@ -188,7 +190,24 @@
 
 def read_notice(headers: CIMultiDict[str]) -> TargetNotice:
     """Return what a target says of itself with an answer."""
-    return TargetNotice(is_leaving="1" in (text.strip() for text in headers.getall(LEAVING, ())))
+    return TargetNotice(
+        is_leaving="1" in (text.strip() for text in headers.getall(LEAVING, ())),
+        requests_per_s=read_limit(headers.getall(LIMIT, ())),
+    )
+
+
+def read_limit(texts: Iterable[str]) -> float | None:
+    """Return the lowest of the limits named, infinite without one; None if one is malformed."""
+    lowest = inf
+    for text in texts:
+        try:
+            limit = float(text)
+        except ValueError:
+            return None
+        if not 0 <= limit < inf:
+            return None
+        lowest = min(lowest, limit)
+    return lowest
 
 
 def select_response_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -1,6 +1,8 @@
 """Tests of what targets say of themselves with their answers."""
 
 import asyncio
+import itertools
+import math
 import unittest
 
 from aiohttp import web
@@ -14,6 +16,20 @@
     return answer
 
 
+def name_limit(*limits):
+    """Return a behaviour that names these limits in turn, and the last one from then on."""
+    remaining = itertools.chain(limits, itertools.repeat(limits[-1]))
+
+    async def answer(target, request):
+        response = target.answer(request)
+        limit = next(remaining)
+        if limit is not None:
+            response.headers["Server-Limit"] = limit
+        return response
+
+    return answer
+
+
 class NoticeLogTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
     """Guards against notices of targets that operators cannot find in the logs."""
 
@@ -29,6 +45,15 @@
         self.assertTrue(event["leaving"])
         self.assertFalse(event["draining"])
 
+    async def test_limit_is_logged_when_it_begins_changes_and_ends(self):
+        target = FakeTarget(name_limit("1000", "1000", "2000.5", "nonsense", None))
+        routes = [make_route("one", service="s")]
+        running = await self.start_gateway({"s": [target]}, routes)
+        for number in range(5):
+            await running.get("/one/a", f"r{number}")
+        limits = [e["requests_per_s"] for e in running.events if e["event"] == "target_notice"]
+        self.assertEqual(limits, [1000.0, 2000.5, math.inf])
+
 
 class LeavingTargetTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
     """Guards against DRAIN: sends to a target that has said that it leaves."""
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -1,5 +1,6 @@
 """Tests of flamingostack.platform.messages."""
 
+import math
 import unittest
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -113,6 +114,25 @@
         twice = make_headers(("Server-Leaving", "0"), ("Server-Leaving", "1"))
         self.assertTrue(read_notice(twice).is_leaving)
 
+    def test_named_limit_is_the_lowest_and_a_malformed_one_is_told_apart(self):
+        cases = [
+            ((), math.inf),
+            (("16.4",), 16.4),
+            ((" 0 ",), 0.0),
+            (("9", "4.5"), 4.5),
+            (("1e2",), 100.0),
+            (("",), None),
+            (("nan",), None),
+            (("inf",), None),
+            (("-1",), None),
+            (("1e999",), None),
+            (("4, 5",), None),
+            (("x", "4"), None),
+        ]
+        for values, limit in cases:
+            headers = make_headers(*(("Server-Limit", value) for value in values))
+            self.assertEqual(read_notice(headers).requests_per_s, limit, values)
+
     def test_retry_after_may_be_a_fraction(self):
         self.assertEqual(make_refusal_headers("r1", 0.25)["Retry-After"], "0.250")
         self.assertNotIn("Retry-After", make_refusal_headers("r1", None))
