Add failing tests of targets that get more than the limit they have named

Cause: LIMIT. The limit is logged and not obeyed.

Ruled out: by these tests, that only retries, hedges or requests after a lost entry exceed it; first sends do.

Pass: a limit that has ended.

--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -128,3 +128,75 @@
         running = await self.start_gateway({"s": [target]}, routes)
         await running.get("/one/a", "r1")
         self.assertNotIn("target_notice", [event["event"] for event in running.events])
+
+
+class LimitTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against LIMIT: more requests than a target takes from all instances together."""
+
+    LIMIT_PER_S = 2.0
+    # One and a half times what the limit allows in 4 s, and 5 requests.
+    ALLOWED_IN_4_S = 17
+
+    async def start(self, *others: FakeTarget, limit: str | None = "2", **route) -> RunningGateway:
+        self.limited = FakeTarget(name_limit(limit))
+        routes = [make_route("one", service="s", **route)]
+        running = await self.start_gateway({"s": [self.limited]}, routes)
+        await running.get("/one/a", "first")
+        for other in others:
+            await other.start()
+            self.addAsyncCleanup(other.stop)
+            self.store.put("servers", other.id, other.entry("s"))
+        known = running.gateway.directory.targets_by_id
+        await wait_until(lambda: len(known) == 1 + len(others))
+        return running
+
+    async def test_first_sends_beyond_the_limit_go_elsewhere(self):
+        running = await self.start(FakeTarget())
+        answers = await asyncio.gather(*(running.get("/one/a", f"r{n}") for n in range(60)))
+        self.assertEqual({status for status, _, _ in answers}, {200})
+        self.assertLessEqual(len(self.limited.requests), self.ALLOWED_IN_4_S)
+
+    async def test_retries_and_hedges_respect_the_limit(self):
+        async def refuse(target, request):
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+
+        async def hang(target, request):
+            await asyncio.sleep(2)
+            return target.answer(request)
+
+        running = await self.start(FakeTarget(refuse), FakeTarget(hang), maxAttempts=4)
+        short = {"X-Deadline-Milliseconds": "300"}
+        requests = (running.get("/one/a", f"r{n}", headers=short) for n in range(40))
+        await asyncio.gather(*requests)
+        self.assertLessEqual(len(self.limited.requests), self.ALLOWED_IN_4_S)
+
+    async def test_requests_beyond_the_limit_of_the_only_target_are_refused_at_once(self):
+        running = await self.start()
+        started_at = asyncio.get_running_loop().time()
+        answers = await asyncio.gather(*(running.get("/one/a", f"r{n}") for n in range(60)))
+        self.assertLess(asyncio.get_running_loop().time() - started_at, 1.0)
+        self.assertEqual({status for status, _, _ in answers}, {200, 503})
+        self.assertTrue(all("Retry-After" in headers for s, headers, _ in answers if s == 503))
+        self.assertLessEqual(len(self.limited.requests), self.ALLOWED_IN_4_S)
+
+    async def test_entry_that_expires_and_returns_keeps_the_limit(self):
+        running = await self.start()
+        known = running.gateway.directory.targets_by_id
+        for round_number in range(5):
+            await asyncio.gather(
+                *(running.get("/one/a", f"r{round_number}-{n}") for n in range(10))
+            )
+            self.store.delete("servers", self.limited.id)
+            await wait_until(lambda: self.limited.id not in known)
+            self.store.put("servers", self.limited.id, self.limited.entry("s"))
+            await wait_until(lambda: self.limited.id in known)
+        self.assertLessEqual(len(self.limited.requests), self.ALLOWED_IN_4_S)
+
+    async def test_limit_that_has_ended_limits_nothing(self):
+        running = await self.start()
+        self.limited.behaviour = None
+        await asyncio.sleep(1 / self.LIMIT_PER_S)
+        await running.get("/one/a", "last")
+        for number in range(20):
+            status, _, _ = await running.get("/one/a", f"r{number}")
+            self.assertEqual(status, 200)
