Keep to the limits that targets name, all instances together

Callers saw: nothing yet.

Cause: Server-Limit was not read; placement knew no bound on requests a second but that of cold targets, which is divided equally among the instances and would come to nothing, or to a multiple, with fewer requests a second than instances.

All instances rank each other by a hash for each target. As many as may send at the same time use the target and space their requests; the others try it in turns, a sixteenth of the limit together. Placement, which every send passes, asks; QueryRun records a send when it is decided, not when its task starts. The share lives in TargetNotices, so it outlives an entry that expires, and a limit that changes with each answer allows no more. A limit ends with the first answer that does not name one.

Replays of fleets of 1, 6, 8, 64, 195 and 1,000 instances stay within the rule; they fail with a burst of 12 s, with 1.8 of the limit used, and with turns of 4 times the limit.

In fleets with many more instances than the limit allows for, the users of a target may have fewer requests than their share, and the rest of the limit is not used.

--- a/flamingostack/gateway/notices.py
+++ b/flamingostack/gateway/notices.py
@@ -7,9 +7,13 @@
 from __future__ import annotations
 
 from math import inf
+from typing import TYPE_CHECKING
 
 from .model import TargetEntry, TargetNotice
 
+if TYPE_CHECKING:
+    from .limits import LimitedSends
+
 # A target that leaves ends some seconds later; this is long enough for an outage meanwhile.
 KEEP_AFTER_REMOVAL_S = 600.0
 MAX_KEPT = 4096
@@ -20,14 +24,32 @@
 class TargetNotices:
     """What one incarnation of a target has said of itself.
 
-    `requests_per_s` is the limit that its last answer has named, infinite without one.
+    `requests_per_s` is the limit that its last answer has named, infinite without one, and
+    `limited_sends` this instance's share in it.
     """
 
-    __slots__ = ("is_leaving", "requests_per_s")
+    __slots__ = ("is_leaving", "requests_per_s", "limited_sends")
 
     def __init__(self) -> None:
         self.is_leaving = False
         self.requests_per_s = inf
+        self.limited_sends: LimitedSends | None = None
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the target has named a limit."""
+        return self.requests_per_s < inf
+
+    def may_send(self, now: float) -> bool:
+        """Return whether the target wants a request of this instance now."""
+        return not self.is_leaving and (
+            self.limited_sends is None or self.limited_sends.may_send(now)
+        )
+
+    def record_send(self, now: float) -> None:
+        """Record that a request is about to be sent."""
+        if self.limited_sends is not None:
+            self.limited_sends.record_send(now)
 
     def record(self, notice: TargetNotice) -> list[str]:
         """Record a notice; return the kinds of what is new in it. Leaving is final."""
@@ -54,7 +76,7 @@
 
     def keep(self, entry: TargetEntry, notices: TargetNotices, now: float) -> None:
         """Keep the notices of a target that is removed, if it has said anything."""
-        if not notices.is_leaving:
+        if not notices.is_leaving and not notices.is_limited:
             return
         self._kept_by_incarnation[get_incarnation(entry)] = (now, notices)
         if len(self._kept_by_incarnation) > MAX_KEPT:
--- a/flamingostack/gateway/placement.py
+++ b/flamingostack/gateway/placement.py
@@ -118,7 +118,7 @@
     """Return whether a target can accept a send now."""
     if target.is_draining or target.is_misdirected or now < target.paused_until:
         return False
-    if target.in_flight >= target.max_connections:
+    if target.in_flight >= target.max_connections or not target.notices.may_send(now):
         return False
     if cold_sends_per_s is not None and now < target.cold_until:
         recent = sum(1 for sent in target.cold_send_times if sent > now - 1)
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -262,6 +262,7 @@
                 self.plan.on_blocked(part, True, now)
                 return
             self._record_extra_send(part, target, now)
+        target.notices.record_send(now)
         self.plan.on_sent(part, target, now, self._hedge_delay_s(spent_budget_share, now))
         task = self._loop.create_task(self._run_send(part, target, time_left_s, now))
         self._tasks.add(task)
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -15,6 +15,7 @@
 from .budget import ExtraSendBudget
 from .directory import Directory
 from .fanout import MIN_HEDGE_LATENCIES
+from .limits import LimitedSends, compute_share
 from .model import Configuration, InstanceSettings, Route, TargetNotice
 from .observations import DomainObservations, Observation, apply_merged, collect_own
 from .pauses import PauseGuard
@@ -241,7 +242,12 @@
 
     def set_instances(self, instances: set[str]) -> None:
         """Set the instances among which the budget, cold targets and connections are divided."""
-        self.instances = instances | {self.settings.instance}
+        instances = instances | {self.settings.instance}
+        if instances != self.instances:
+            self.instances = instances
+            for target in self.directory.targets_by_id.values():
+                if target.notices.is_limited:
+                    self._update_limit_share(target)
         self.update_shares()
 
     def set_settings(self, settings: InstanceSettings) -> None:
@@ -289,6 +295,8 @@
     def record_notice(self, target: Target, notice: TargetNotice, request_id: str) -> None:
         """Record what a target says of itself with the answer to a request; log what is new."""
         kinds = target.notices.record(notice)
+        if "limit" in kinds:
+            self._update_limit_share(target)
         for kind in kinds:
             self.metrics.count("gateway_target_notices_total", kind=kind)
         if kinds:
@@ -302,6 +310,23 @@
                 request_id=request_id,
             )
 
+    def _update_limit_share(self, target: Target) -> None:
+        """Recompute this instance's share in the limit that a target has named."""
+        notices = target.notices
+        if not notices.is_limited:
+            notices.limited_sends = None
+            return
+        share = compute_share(
+            notices.requests_per_s,
+            target_id=target.entry.id,
+            instance=self.settings.instance,
+            instances=self.instances,
+        )
+        if notices.limited_sends is None:
+            notices.limited_sends = LimitedSends(share, self.now())
+        else:
+            notices.limited_sends.set_share(share, self.now())
+
     def own_observations(self) -> list[Observation]:
         """Return what this instance has observed of targets in trouble."""
         return collect_own(self.directory.targets_by_id.values(), self.now())
