Read past an odd entry among those of targets

Here, an instance kept serving and no process ended, but it stopped following: a value nested 1,000 levels deep, or an integer of 4,300 digits, made each list and each watch fail as a whole, and half of a surrogate pair or a value nested nearly as deep made the answers to followers fail.

Cause: json.loads takes a response whole or not at all, and the relay encodes what was decoded without a check. slots had no upper bound, and an integer of 400 digits cannot be multiplied by a float in placement.

Ruled out: a streaming parser (another dependency on the path of each update); a lower recursion limit, which fails the same response earlier.

Change: bounded_json.py. A response that cannot be decoded is decoded again without what is nested deeper than 32 levels and numbers longer than 40 characters. A value that could not be used or relayed counts as an empty entry: it names no target, and the others hold. slots and coldRemainingMs have bounds.

--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -212,7 +212,7 @@
         if not decompressor.eof:
             return None
         changes = msgspec.json.decode(encoded, type=dict[str, RelayChanges])
-    except (msgspec.DecodeError, zlib.error):
+    except (msgspec.DecodeError, zlib.error, RecursionError):
         return None
     return RelayResponse(freshness, changes)
 
--- /dev/null
+++ b/flamingostack/platform/bounded_json.py
@@ -0,0 +1,69 @@
+"""Decoding of the store's JSON, in which another writer may have left any value.
+
+One value that no decoder takes must not hide all others in the same list, and one that the relay
+cannot encode must not end the answers to followers.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+
+# Objects of the platform have fewer levels; decoders fail at about 1,000.
+MAX_DEPTH = 32
+# Longer integers are of no use, and from 4,300 digits on they cannot be decoded.
+MAX_NUMBER_CHARACTERS = 40
+MAX_INTEGER = 2**63 - 1
+TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[{]+|[\]}]+|-?[0-9][0-9.eE+-]*', re.DOTALL)
+# Takes the place of what is left out. It can be decoded, and `is_bounded` refuses it.
+LEFT_OUT = "Infinity"
+
+
+def decode_json(body: bytes) -> object:
+    """Decode JSON, if need be without values that can't be decoded; raise ValueError otherwise."""
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError):
+        return json.loads(leave_out_unbounded(body.decode(errors="replace")))
+
+
+def leave_out_unbounded(text: str) -> str:
+    """Replace what is nested deeper than `MAX_DEPTH`, and numbers that are too long."""
+    pieces = []
+    depth = copied_to = 0
+    for token in TOKEN.finditer(text):
+        first = text[token.start()]
+        if first in "[{":
+            excess = depth + len(token[0]) - MAX_DEPTH
+            if depth <= MAX_DEPTH < depth + len(token[0]):
+                pieces += (text[copied_to : token.end() - excess], LEFT_OUT)
+            depth += len(token[0])
+        elif first in "]}":
+            if depth > MAX_DEPTH >= depth - len(token[0]):
+                copied_to = token.start() + depth - MAX_DEPTH
+            depth -= len(token[0])
+        elif first != '"' and depth <= MAX_DEPTH and len(token[0]) > MAX_NUMBER_CHARACTERS:
+            pieces += (text[copied_to : token.start()], LEFT_OUT)
+            copied_to = token.end()
+    pieces.append(text[copied_to:])
+    return "".join(pieces)
+
+
+def is_bounded(value: object, max_depth: int = MAX_DEPTH) -> bool:
+    """Return whether a decoded value can be encoded again and used for what it says."""
+    match value:
+        case dict():
+            return max_depth > 0 and all(
+                is_bounded(key) and is_bounded(item, max_depth - 1) for key, item in value.items()
+            )
+        case list():
+            return max_depth > 0 and all(is_bounded(item, max_depth - 1) for item in value)
+        case str():
+            return value.isascii() or value == value.encode(errors="replace").decode()
+        case float():
+            return math.isfinite(value)
+        case int():
+            return abs(value) <= MAX_INTEGER
+        case _:
+            return True
--- a/flamingostack/platform/decode.py
+++ b/flamingostack/platform/decode.py
@@ -21,6 +21,9 @@
 
 CONFIGURATION_NAME = "main"
 MS_PER_S = 1000
+# A target with more than these is misconfigured, or the entry is another writer's.
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
@@ -105,9 +108,13 @@
             raise ValueError(f"unknown state {body['state']!r}")
         cold_ms = body.get("coldRemainingMs", 0)
         slots = body["slots"]
-        if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+        if isinstance(slots, bool) or not isinstance(slots, int) or not 1 <= slots <= MAX_SLOTS:
             raise ValueError(f"slots is {slots!r}")
-        if isinstance(cold_ms, bool) or not isinstance(cold_ms, int | float) or cold_ms < 0:
+        if (
+            isinstance(cold_ms, bool)
+            or not isinstance(cold_ms, int | float)
+            or not 0 <= cold_ms <= MAX_COLD_MS
+        ):
             raise ValueError(f"coldRemainingMs is {cold_ms!r}")
         return TargetEntry(
             id=record.name,
--- a/flamingostack/platform/objects.py
+++ b/flamingostack/platform/objects.py
@@ -15,6 +15,7 @@
     make_session,
     send_request,
 )
+from .bounded_json import decode_json, is_bounded
 
 if TYPE_CHECKING:
     import aiohttp
@@ -140,8 +141,8 @@
         if failure is not None:
             return failure
         try:
-            content = json.loads(response.body)
-        except ValueError as error:
+            content = decode_json(response.body)
+        except (ValueError, RecursionError) as error:
             return StoreFailure(StoreReason.UNAVAILABLE, f"{kind}: malformed answer: {error}")
         if not isinstance(content, dict):
             return StoreFailure(StoreReason.UNAVAILABLE, f"{kind}: answer is not a JSON object")
@@ -195,6 +196,11 @@
 
 
 def decode_object(item: dict[str, Any]) -> StoredRecord:
-    """Decode an object with its metadata; raise KeyError or TypeError if it is malformed."""
+    """Decode an object with its metadata; raise KeyError or TypeError if it is malformed.
+
+    A value that could not be used or relayed becomes an empty one, which no kind of object has.
+    """
     meta = item["meta"]
-    return StoredRecord(str(meta["name"]), int(meta.get("revision") or 0), item.get("spec"))
+    name = str(meta["name"]).encode(errors="replace").decode()
+    value = item.get("spec")
+    return StoredRecord(name, int(meta.get("revision") or 0), value if is_bounded(value) else {})
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections.abc import Awaitable, Callable
 
@@ -44,6 +45,8 @@
         self.lost_share = 0.0
         self.random = random.Random(1)
         self.calls: list[str] = []
+        # Values of objects that are served as they are.
+        self._texts: list[str] = []
         # Responses to list calls that allow stale data, for the kinds in here.
         self.stale_lists_by_kind: dict[str, dict] = {}
         self._changed_event = asyncio.Event()
@@ -71,6 +74,11 @@
         self.objects_by_kind.setdefault(kind, {})[name] = stored
         self._add_event(kind, stored, False)
 
+    def put_text(self, kind: str, name: str, text: str) -> None:
+        """Create or replace an object whose `spec` is this text, which need not be valid JSON."""
+        self.put(kind, name, f"@{len(self._texts)}@")
+        self._texts.append(text)
+
     def delete(self, kind: str, name: str) -> None:
         """Delete an object."""
         self.revision += 1
@@ -132,7 +140,7 @@
             case "GET" if "allowStale" in request.query and kind in self.stale_lists_by_kind:
                 return web.json_response(self.stale_lists_by_kind[kind])
             case "GET":
-                return web.json_response(self._list(kind))
+                return self._make_response(self._list(kind))
             case "DELETE":
                 if name not in self.objects_by_kind.get(kind, {}):
                     return web.Response(status=404)
@@ -146,6 +154,12 @@
                 self.put(kind, name, body["spec"])
                 return web.json_response(self.objects_by_kind[kind][name])
 
+    def _make_response(self, content: dict) -> web.Response:
+        body = json.dumps(content)
+        for number, text in enumerate(self._texts):
+            body = body.replace(f'"@{number}@"', text)
+        return web.Response(text=body, content_type="application/json")
+
     def _list(self, kind: str) -> dict:
         items = list(self.objects_by_kind.get(kind, {}).values())
         return {"items": items, "hasMore": False, "atRevision": self.revision}
@@ -164,7 +178,7 @@
                 if revision > since and event_kind == kind
             ]
             if events or asyncio.get_running_loop().time() >= end:
-                return web.json_response({"events": events, "atRevision": self.revision})
+                return self._make_response({"events": events, "atRevision": self.revision})
             try:
                 async with asyncio.timeout_at(end):
                     await self._changed_event.wait()
