Refuse requests that come too late in a planned stop to be answered

Callers saw: in another operator's system, requests that came late in the grace were taken, passed on and cut at its end. Here none was cut: each request that comes after SIGTERM has a time limit before the end. But one that its target could not finish by then was passed on and ended as 504, so a caller that may send it only once had lost it.

Cause: the time limit was shortened, and nothing asked whether an answer fits into it.

Ruled out: no longer accepting connections after SIGTERM, since the platform routes callers here for two more seconds.

Change: a request is refused unsent (503 shutting_down, Retry-After 0.02 s) if a slow answer of its route would not arrive before the process ends.

Conclusion: requests from before SIGTERM whose target does not answer until the end are still cut.

--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -41,6 +41,8 @@
 RETRY_AFTER_SPREAD_SHARE = 0.3
 # Retry-After while there is no configuration: nothing is served until the store answers.
 NOT_READY_RETRY_AFTER_S = 0.5
+# Retry-After of a request that comes too late during a stop: others can serve it at once.
+STOPPING_RETRY_AFTER_S = 0.02
 # For how long a stop waits for the first request of a new connection. It follows the connection
 # by a round trip, but a caller that opens connections in advance may never send one.
 FIRST_REQUEST_WAIT_S = 0.5
@@ -208,6 +210,8 @@
         return refuse_request(gateway, request_id, 408, "body_timeout")
     if body is None:
         return refuse_request(gateway, request_id, 413, "body_too_large")
+    if not can_answer_before_end(gateway, route):
+        return refuse_request(gateway, request_id, 503, "shutting_down", STOPPING_RETRY_AFTER_S)
     outgoing = OutgoingRequest(
         request_id,
         request.method,
@@ -229,6 +233,16 @@
     return True
 
 
+def can_answer_before_end(gateway: Gateway, route: Route) -> bool:
+    """Return whether even a slow answer would arrive before this process ends.
+
+    A request that is sent and not answered by then is lost for callers that may send it only once.
+    """
+    now = gateway.now()
+    latency_s = gateway.stats(route).slow_latency_s(route, now)
+    return now + latency_s + ANSWER_RESERVE_S <= gateway.answer_until
+
+
 async def execute_request(
     gateway: Gateway, request: OutgoingRequest, route: Route, caller: Caller
 ) -> web.Response:
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -8,6 +8,7 @@
 
 from aiohttp import ClientError
 
+from flamingostack.entry.latency import MIN_SAMPLES
 from flamingostack.entry.shutdown import Phase
 
 from .fakes import HOST, FakeTarget, GatewayCase, make_route, wait_until
@@ -144,6 +145,49 @@
         self.assertEqual((status, "Retry-After" in answer_headers), (504, False))
         await stopping
 
+    async def test_requests_that_come_late_in_the_grace_are_answered_or_refused_unsent(self):
+        async def work(target, request):
+            await asyncio.sleep(0.9)
+            return target.answer(request)
+
+        target = FakeTarget(work)
+        route = make_route("one", service="one", kind="non_idempotent", timeoutMs=5000)
+        running = await self.start_gateway({"one": [target]}, [route], shutdown_grace_s=2.0)
+        latency = running.gateway.stats(running.gateway.routes.configuration.routes[0]).latency
+        for _ in range(MIN_SAMPLES):
+            latency.record(0.9)
+        connections = [await asyncio.open_connection(HOST, running.port) for _ in range(16)]
+
+        async def request_at(at: float, number: int) -> bytes:
+            await asyncio.sleep(at)
+            reader, writer = connections[number]
+            head = (
+                f"POST /one/x HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: late-{number}\r\n"
+            )
+            writer.write(
+                f"{head}X-Deadline-Milliseconds: 5000\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            try:
+                return await reader.readline()
+            except ConnectionError:
+                return b""
+            finally:
+                writer.close()
+
+        ending = asyncio.create_task(running.shut_down())
+        moments = (0.05 + 0.1 * number for number in range(16))
+        lines = await asyncio.gather(*(request_at(at, n) for n, at in enumerate(moments)))
+        await ending
+        ran = {request.headers["X-Request-Id"] for request in target.requests}
+        for number, line in enumerate(lines):
+            status = line.split()[1:2]
+            # One that was passed on has its answer; any other was refused, or not read at all.
+            expected = [b"200"] if f"late-{number}" in ran else [b"503"]
+            if status or f"late-{number}" in ran:
+                self.assertEqual(status, expected, (number, line))
+        self.assertGreater(sum(b" 200 " in line for line in lines), 2)
+        self.assertGreater(sum(b" 503 " in line for line in lines), 2)
+
     async def test_not_ready_from_the_first_moment(self):
         running = await self.start_gateway(
             {"one": [FakeTarget()]}, [make_route("one", service="one")], shutdown_grace_s=1.0
