Send nothing to a target while it is closed to this instance

Cause: a target that refuses a request with 503 may say with Retry-After for how long it wants nothing more from this instance. That was not read: the pause after a refusal is 50 ms, and there is none if the target has free slots.

Change: TargetNotice.closed_s (seconds or a date; the longest of several fields; malformed, negative or past values say nothing) and TargetNotices.closed_until, which a later answer does not shorten and which outlives the entry. Placement asks it for every send. A query that is refused because too few shards are open gets a Retry-After that reaches to the earliest moment at which enough of them are.

--- a/flamingostack/gateway/model.py
+++ b/flamingostack/gateway/model.py
@@ -260,14 +260,22 @@
     """What a target says of itself with an answer.
 
     `requests_per_s` is how many requests a second it takes from all instances together: infinite
-    if it names no limit, None if what it names cannot be read.
+    if it names no limit, None if what it names cannot be read. `closed_s` is for how long it wants
+    nothing more from this instance, 0 if it does not say so.
     """
 
-    __slots__ = ("is_leaving", "requests_per_s")
+    __slots__ = ("is_leaving", "requests_per_s", "closed_s")
 
-    def __init__(self, *, is_leaving: bool = False, requests_per_s: float | None = inf) -> None:
+    def __init__(
+        self,
+        *,
+        is_leaving: bool = False,
+        requests_per_s: float | None = inf,
+        closed_s: float = 0.0,
+    ) -> None:
         self.is_leaving = is_leaving
         self.requests_per_s = requests_per_s
+        self.closed_s = closed_s
 
 
 class TargetLoad:
--- a/flamingostack/gateway/notices.py
+++ b/flamingostack/gateway/notices.py
@@ -25,15 +25,17 @@
     """What one incarnation of a target has said of itself.
 
     `requests_per_s` is the limit that its last answer has named, infinite without one, and
-    `limited_sends` this instance's share in it.
+    `limited_sends` this instance's share in it. Before `closed_until`, in seconds of the event
+    loop's clock, it wants nothing.
     """
 
-    __slots__ = ("is_leaving", "requests_per_s", "limited_sends")
+    __slots__ = ("is_leaving", "requests_per_s", "limited_sends", "closed_until")
 
     def __init__(self) -> None:
         self.is_leaving = False
         self.requests_per_s = inf
         self.limited_sends: LimitedSends | None = None
+        self.closed_until = 0.0
 
     @property
     def is_limited(self) -> bool:
@@ -42,16 +44,16 @@
 
     def may_send(self, now: float) -> bool:
         """Return whether the target wants a request of this instance now."""
-        return not self.is_leaving and (
-            self.limited_sends is None or self.limited_sends.may_send(now)
-        )
+        if self.is_leaving or now < self.closed_until:
+            return False
+        return self.limited_sends is None or self.limited_sends.may_send(now)
 
     def record_send(self, now: float) -> None:
         """Record that a request is about to be sent."""
         if self.limited_sends is not None:
             self.limited_sends.record_send(now)
 
-    def record(self, notice: TargetNotice) -> list[str]:
+    def record(self, notice: TargetNotice, now: float) -> list[str]:
         """Record a notice; return the kinds of what is new in it. Leaving is final."""
         kinds = []
         if notice.is_leaving and not self.is_leaving:
@@ -60,8 +62,16 @@
         if notice.requests_per_s not in (None, self.requests_per_s):
             self.requests_per_s = notice.requests_per_s
             kinds.append("limit")
+        if notice.closed_s:
+            if now >= self.closed_until:
+                kinds.append("closed")
+            self.closed_until = max(self.closed_until, now + notice.closed_s)
         return kinds
 
+    def has_any(self, now: float) -> bool:
+        """Return whether anything that the target has said is in force."""
+        return self.is_leaving or self.is_limited or now < self.closed_until
+
 
 class KeptNotices:
     """Notices of targets whose entries were removed, in case the same incarnation is listed again.
@@ -76,7 +86,7 @@
 
     def keep(self, entry: TargetEntry, notices: TargetNotices, now: float) -> None:
         """Keep the notices of a target that is removed, if it has said anything."""
-        if not notices.is_leaving and not notices.is_limited:
+        if not notices.has_any(now):
             return
         self._kept_by_incarnation[get_incarnation(entry)] = (now, notices)
         if len(self._kept_by_incarnation) > MAX_KEPT:
--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -57,13 +57,19 @@
 
 
 class QueryFailure(Failure[QueryReason]):
-    """Failure of a request; `is_not_run` is True only if no part has run or will run."""
+    """Failure of a request; `is_not_run` is True only if no part has run or will run.
 
-    __slots__ = ("is_not_run",)
+    Before `closed_s` have passed, the same request would fail again.
+    """
+
+    __slots__ = ("is_not_run", "closed_s")
 
-    def __init__(self, reason: QueryReason, message: str, is_not_run: bool) -> None:
+    def __init__(
+        self, reason: QueryReason, message: str, is_not_run: bool, closed_s: float = 0.0
+    ) -> None:
         super().__init__(reason, message)
         self.is_not_run = is_not_run
+        self.closed_s = closed_s
 
 
 class Caller:
@@ -161,7 +167,10 @@
         if not self.plan.can_start(has_free_target):
             parts = zip(self.plan.parts, has_free_target, strict=True)
             full_services = ",".join(part.service for part, is_free in parts if not is_free)
-            return QueryFailure(QueryReason.NO_TARGET, f"no free target: {full_services}", True)
+            message = f"no free target: {full_services}"
+            return QueryFailure(
+                QueryReason.NO_TARGET, message, True, self._closed_s(has_free_target)
+            )
         refused_share = self._refused_share()
         if random.random() < refused_share:
             message = f"queues are long, {refused_share:.2f} of the queries are refused"
@@ -218,6 +227,23 @@
             for part in self.plan.parts
         ]
 
+    def _closed_s(self, has_free_target: list[bool]) -> float:
+        """Return for how long targets are closed without which the request cannot be answered."""
+        gateway, now = self.gateway, self.gateway.now()
+        closed_s = sorted(
+            min(
+                (
+                    max(target.notices.closed_until - now, 0.0)
+                    for target in gateway.directory.usable_targets(part.service)
+                    if not target.is_draining
+                ),
+                default=0.0,
+            )
+            for part, is_free in zip(self.plan.parts, has_free_target, strict=True)
+            if not is_free
+        )
+        return closed_s[self.plan.required_parts - sum(has_free_target) - 1]
+
     def _refused_share(self) -> float:
         """Return which share of such queries should be refused because of long queues."""
         if not isinstance(self.route.destination, FanOut):
--- a/flamingostack/gateway/sender.py
+++ b/flamingostack/gateway/sender.py
@@ -90,7 +90,7 @@
         """What the target says of itself; None if there is no answer of this target."""
         if self.headers is None or self.outcome is SendOutcome.WRONG_TARGET:
             return None
-        return read_notice(self.headers)
+        return read_notice(self.status, self.headers)
 
     def describe_load(self) -> str:
         """Return the reported load as "running,waiting,slots" for a log line, empty without one."""
--- a/flamingostack/gateway/server.py
+++ b/flamingostack/gateway/server.py
@@ -342,7 +342,7 @@
     retry_after_s = None
     if failure.is_not_run:
         share = RETRY_AFTER_OBJECTIVE_SHARE + random.random() * RETRY_AFTER_SPREAD_SHARE
-        retry_after_s = route.latency_objective_s * share
+        retry_after_s = route.latency_objective_s * share + failure.closed_s
     record_response(
         gateway,
         request,
--- a/flamingostack/gateway/state.py
+++ b/flamingostack/gateway/state.py
@@ -294,7 +294,7 @@
 
     def record_notice(self, target: Target, notice: TargetNotice, request_id: str) -> None:
         """Record what a target says of itself with the answer to a request; log what is new."""
-        kinds = target.notices.record(notice)
+        kinds = target.notices.record(notice, self.now())
         if "limit" in kinds:
             self._update_limit_share(target)
         for kind in kinds:
@@ -306,6 +306,7 @@
                 service=target.entry.service,
                 leaving=target.notices.is_leaving,
                 requests_per_s=target.notices.requests_per_s,
+                closed_s=notice.closed_s,
                 draining=target.entry.is_draining,
                 request_id=request_id,
             )
--- a/flamingostack/platform/messages.py
+++ b/flamingostack/platform/messages.py
@@ -4,7 +4,9 @@
 
 import enum
 import re
+import time
 from collections.abc import Iterable, Mapping
+from email.utils import parsedate_to_datetime
 from math import inf
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -50,6 +52,7 @@
 # Statuses that promise callers that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 # Methods whose requests have no body unless they announce one.
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD", "OPTIONS", "TRACE", "DELETE"))
 # Announces after how many idle seconds a target closes a connection.
@@ -188,14 +191,31 @@
     return TargetLoad(running, waiting, slots) if slots > 0 else None
 
 
-def read_notice(headers: CIMultiDict[str]) -> TargetNotice:
-    """Return what a target says of itself with an answer."""
+def read_notice(status: int, headers: CIMultiDict[str]) -> TargetNotice:
+    """Return what a target says of itself with an answer.
+
+    Only a refusal (503) says for how long the target is closed.
+    """
+    closed_texts = headers.getall(RETRY_AFTER, ()) if status == UNAVAILABLE_STATUS else ()
     return TargetNotice(
         is_leaving="1" in (text.strip() for text in headers.getall(LEAVING, ())),
         requests_per_s=read_limit(headers.getall(LIMIT, ())),
+        closed_s=max((read_delay_s(text, time.time()) for text in closed_texts), default=0.0),
     )
 
 
+def read_delay_s(text: str, wall_time_s: float) -> float:
+    """Return a delay that is given in seconds or as a date; 0 if it is malformed or past."""
+    try:
+        delay_s = float(text)
+    except ValueError:
+        try:
+            delay_s = parsedate_to_datetime(text).timestamp() - wall_time_s
+        except (ValueError, OverflowError):
+            return 0.0
+    return delay_s if 0 < delay_s < inf else 0.0
+
+
 def read_limit(texts: Iterable[str]) -> float | None:
     """Return the lowest of the limits named, infinite without one; None if one is malformed."""
     lowest = inf
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from flamingostack.gateway.model import TargetNotice
+
 from .fakes import FakeTarget, GatewayCase, RunningGateway, make_route, wait_until
 
 
@@ -200,3 +202,68 @@
         for number in range(20):
             status, _, _ = await running.get("/one/a", f"r{number}")
             self.assertEqual(status, 200)
+
+
+class ClosedTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
+    """Guards against BUDGET: sends to a target that wants nothing from this instance for a time."""
+
+    CLOSED_S = 5.0
+
+    async def start(self, *others: FakeTarget, **route) -> RunningGateway:
+        async def refuse(target, request):
+            headers = {"X-Not-Executed": "1", "Retry-After": str(self.CLOSED_S)}
+            return web.Response(status=503, headers=headers | {"X-Server-Load": "0,0,4"})
+
+        self.closed = FakeTarget(refuse)
+        routes = [make_route("one", service="s", **route)]
+        running = await self.start_gateway({"s": [self.closed]}, routes)
+        await running.get("/one/a", "first")
+        self.assertEqual(len(self.closed.requests), 1)
+        for other in others:
+            await other.start()
+            self.addAsyncCleanup(other.stop)
+            self.store.put("servers", other.id, other.entry("s"))
+        known = running.gateway.directory.targets_by_id
+        await wait_until(lambda: len(known) == 1 + len(others))
+        return running
+
+    async def test_first_sends_retries_and_hedges_go_elsewhere(self):
+        async def hang(target, request):
+            await asyncio.sleep(2)
+            return target.answer(request)
+
+        running = await self.start(FakeTarget(), FakeTarget(hang), maxAttempts=4)
+        short = {"X-Deadline-Milliseconds": "300"}
+        requests = (running.get("/one/a", f"r{n}", headers=short) for n in range(20))
+        await asyncio.gather(*requests)
+        self.assertEqual(len(self.closed.requests), 1)
+
+    async def test_refusal_at_once_tells_when_the_target_is_open_again(self):
+        self.CLOSED_S = 1.0
+        running = await self.start()
+        started_at = running.gateway.now()
+        status, headers, _ = await running.get("/one/a", "r1")
+        self.assertEqual(status, 503)
+        self.assertLess(running.gateway.now() - started_at, self.CLOSED_S / 2)
+        self.assertGreater(float(headers["Retry-After"]), self.CLOSED_S / 2)
+        self.closed.behaviour = None
+        await asyncio.sleep(float(headers["Retry-After"]))
+        self.assertEqual((await running.get("/one/a", "r2"))[0], 200)
+
+    async def test_answer_to_an_earlier_request_does_not_open_it(self):
+        running = await self.start()
+        target = running.gateway.directory.targets_by_id[self.closed.id]
+        running.gateway.record_notice(target, TargetNotice(), "earlier")
+        target.record_answer(1.0, None, running.gateway.now())
+        self.assertEqual((await running.get("/one/a", "r1"))[0], 503)
+        self.assertEqual(len(self.closed.requests), 1)
+
+    async def test_entry_that_expires_and_returns_does_not_open_it(self):
+        running = await self.start()
+        known = running.gateway.directory.targets_by_id
+        self.store.delete("servers", self.closed.id)
+        await wait_until(lambda: self.closed.id not in known)
+        self.store.put("servers", self.closed.id, self.closed.entry("s"))
+        await wait_until(lambda: self.closed.id in known)
+        self.assertEqual((await running.get("/one/a", "r1"))[0], 503)
+        self.assertEqual(len(self.closed.requests), 1)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -11,6 +11,7 @@
     encode_request,
     encode_send_headers,
     make_refusal_headers,
+    read_delay_s,
     read_load,
     read_notice,
     read_time_left_s,
@@ -109,10 +110,10 @@
     def test_target_leaves_only_by_its_own_clear_word(self):
         for value, is_leaving in (("1", True), (" 1 ", True), ("0", False), ("", False)):
             headers = make_headers(("server-leaving", value))
-            self.assertEqual(read_notice(headers).is_leaving, is_leaving, value)
-        self.assertFalse(read_notice(make_headers()).is_leaving)
+            self.assertEqual(read_notice(200, headers).is_leaving, is_leaving, value)
+        self.assertFalse(read_notice(200, make_headers()).is_leaving)
         twice = make_headers(("Server-Leaving", "0"), ("Server-Leaving", "1"))
-        self.assertTrue(read_notice(twice).is_leaving)
+        self.assertTrue(read_notice(200, twice).is_leaving)
 
     def test_named_limit_is_the_lowest_and_a_malformed_one_is_told_apart(self):
         cases = [
@@ -131,7 +132,30 @@
         ]
         for values, limit in cases:
             headers = make_headers(*(("Server-Limit", value) for value in values))
-            self.assertEqual(read_notice(headers).requests_per_s, limit, values)
+            self.assertEqual(read_notice(200, headers).requests_per_s, limit, values)
+
+    def test_time_for_which_a_target_is_closed(self):
+        cases = [
+            ((), 0),
+            (("1",), 1),
+            (("0.25",), 0.25),
+            (("0",), 0),
+            (("-3",), 0),
+            (("nan",), 0),
+            (("inf",), 0),
+            (("1e999",), 0),
+            (("soon",), 0),
+            (("",), 0),
+            (("7200",), 7200),
+            (("1", "3"), 3),
+            (("x", "2"), 2),
+            (("Thu, 01 Jan 1970 00:01:40 GMT",), 0),
+        ]
+        for values, closed_s in cases:
+            headers = make_headers(*(("Retry-After", value) for value in values))
+            self.assertEqual(read_notice(503, headers).closed_s, closed_s, values)
+            self.assertEqual(read_notice(429, headers).closed_s, 0, values)
+        self.assertEqual(read_delay_s("Thu, 01 Jan 1970 00:01:40 GMT", 60.0), 40)
 
     def test_retry_after_may_be_a_fraction(self):
         self.assertEqual(make_refusal_headers("r1", 0.25)["Retry-After"], "0.250")
