Give up a part at once if all its targets stay closed

Cause: a part without a free target is tried again for 45 ms, or until the soft deadline if the answer needs it, also if all targets that are left leave or stay closed beyond the request's time limit. It cannot be served.

Ruled out: doing so for limits, which open again within a second.

Change: QueryRun asks Target.is_closed_until(deadline) before it counts a target as untried.

Before and after: test_request_in_flight_is_given_up_when_its_last_target_closes failed on the parent (816 ms with a retry interval of 0.8 s) and passes.

Conclusion: callers of such requests are refused as soon as that is known.

--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -271,7 +271,10 @@
         )
         time_left_s = self.plan.deadline - now
         if target is None or time_left_s < MIN_SEND_TIME_S:
-            has_untried_targets = any(t not in part.tried_targets for t in targets)
+            has_untried_targets = any(
+                t not in part.tried_targets and not t.is_closed_until(self.plan.deadline)
+                for t in targets
+            )
             self.plan.on_blocked(part, has_untried_targets, now)
             return
         if part.in_flight and target.expected_queue(now) >= MIN_QUEUE:
--- a/flamingostack/gateway/targets.py
+++ b/flamingostack/gateway/targets.py
@@ -118,6 +118,10 @@
         """Whether the target leaves, by its entry or by its own word."""
         return self.entry.is_draining or self.notices.is_leaving
 
+    def is_closed_until(self, at: float) -> bool:
+        """Return whether the target wants no request before a time, or leaves."""
+        return self.is_draining or self.notices.closed_until >= at
+
     def record_send_start(self, send_id: int, now: float) -> None:
         """Record that a send has started."""
         self.in_flight += 1
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 import unittest
+from unittest import mock
 
 from aiohttp import web
 
@@ -250,6 +251,13 @@
         await asyncio.sleep(float(headers["Retry-After"]))
         self.assertEqual((await running.get("/one/a", "r2"))[0], 200)
 
+    async def test_request_in_flight_is_given_up_when_its_last_target_closes(self):
+        with mock.patch("flamingostack.gateway.fanout.BLOCKED_RETRY_S", 0.8):
+            running = await self.start()
+        (event,) = [e for e in running.events if e["event"] == "request_answered"]
+        self.assertEqual(event["status"], 503)
+        self.assertLess(event["elapsed_ms"], 700)
+
     async def test_answer_to_an_earlier_request_does_not_open_it(self):
         running = await self.start()
         target = running.gateway.directory.targets_by_id[self.closed.id]
