Reproduce DRAIN: targets that leave after a silence of the store

A watch that was sent while the store was silent is never answered and hangs for 16.5 s, so that an instance in touch does not learn that a target has left.

Ruled out: the word of the target in its answers (it sent none), and the 2 s for which entries are kept after an outage, which alone keep the bound.

Before and after: the test fails with a TimeoutError after 7 s (4 s to recover and 3 s to leave a target).

--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -231,6 +231,27 @@
         self.assertEqual((await running.get("/one/x"))[0], 200)
         await wait_until(lambda: not directory.targets_by_id)
 
+    async def test_targets_that_leave_after_a_silence_that_other_watches_outlast(self):
+        # DRAIN: a watch that was sent into a silence of the store is never answered. That of the
+        # configuration was sent before and answered after it, so that no call failed.
+        running = await self.start()
+        await self.settle()
+        known = running.gateway.directory.targets_by_id
+        self.store.is_silent = True
+        watches = self.count_watches("servers")
+        self.store.put("servers", "other", FakeTarget().entry("one"))
+        await wait_until(lambda: self.count_watches("servers") > watches)
+        await asyncio.sleep(0.3)
+        self.store.is_silent = False
+        gone = self.targets[0].id
+        self.store.delete("servers", gone)
+        # The platform allows 4 s to recover from an outage and 3 s to leave a target.
+        async with asyncio.timeout(7):
+            await wait_until(lambda: gone not in known)
+
+    def count_watches(self, kind: str) -> int:
+        return sum(f"/{kind}?watch=" in call for call in self.store.calls)
+
     async def test_watch_sent_into_a_silent_store_does_not_outlast_its_return(self):
         running = await self.start()
         await self.settle()
