Find out that a watch was sent into a silence of the store

Cause: a call that is sent while the store is silent is never answered. A watch of the targets waits for a change for 15 s, so it fails 16.5 s later. The watch of the configuration, which is renewed each 8 s to detect a silent store for all feeds, detects none that begins and ends between two renewals. When they learnt of the removal, the failed call made it look like an entry that had expired in an outage, which is kept for 2 s more.

Evidence: store_lost of the targets at 25.51 to 26.70 s names watch=53&waitMs=15000, sent at 9.0 to 10.2 s in a silence from 8.9 to 14.3 s; the removal was acknowledged at 23.35 s; target_removed held=True.

Ruled out: shorter watches, since each call is billed in full and a bound of 3 s needs four watches each second or two; polling peers, since watches of instances that started together are sent into the same silence; a shorter hold, since entries return within two seconds of an outage.

Change: StoreProbe sends a list that may be stale, a tenth of a call, 20 ms behind each watch and each 2 s. If it is not answered within 1.5 s, all watches are sent again. It runs only where the store is watched: two instances of a large failure domain. It covers all kinds, so a configuration and an evacuation cannot be missed in the same way either.

Before and after: test_targets_that_leave_after_a_silence_that_other_watches_outlast failed on the parent with a TimeoutError after 7 s and passes.

Conclusion: the fault of the report.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -78,6 +78,7 @@
         "_loss_event",
         "_answer_event",
         "_update_event",
+        "_watch_event",
         "_not_following_peers",
     )
 
@@ -95,6 +96,7 @@
         self._loss_event = asyncio.Event()
         self._answer_event = asyncio.Event()
         self._update_event = asyncio.Event()
+        self._watch_event = asyncio.Event()
         # Set while this instance has to watch the store itself.
         self._not_following_peers = asyncio.Event()
         self._not_following_peers.set()
@@ -134,6 +136,15 @@
         """Wait until this instance has to watch the store itself."""
         await self._not_following_peers.wait()
 
+    def notify_watch(self) -> None:
+        """Wake the probe, because a feed sends a watch."""
+        self._watch_event.set()
+
+    async def wait_for_watch(self, wait_s: float) -> None:
+        """Wait for up to `wait_s` until a watch is sent, also before this call."""
+        await wait_for_event(self._watch_event, wait_s)
+        self._watch_event.clear()
+
     def notify_update(self) -> None:
         """Wake the polls of other instances that wait for an update."""
         self._update_event.set()
@@ -288,6 +299,7 @@
         wait_s = self.watch_wait_s()
         watch_task = asyncio.create_task(self.store.watch(self.kind, self.revision, wait_s))
         loss_task = asyncio.create_task(self.store_status.wait_for_loss())
+        self.store_status.notify_watch()
         try:
             await asyncio.wait({watch_task, loss_task}, return_when=asyncio.FIRST_COMPLETED)
             if watch_task.done():
--- a/flamingostack/gateway/main.py
+++ b/flamingostack/gateway/main.py
@@ -26,6 +26,7 @@
 from .listener import Listener, open_listener
 from .model import Address, InstanceSettings
 from .pauses import PauseGuard
+from .probe import StoreProbe
 from .relay import PeerClient, make_relay_server
 from .sender import Sender
 from .server import CallerServer, make_metrics_server, make_readiness_server
@@ -70,9 +71,11 @@
     store_status = StoreStatus(loop.time)
     feeds_by_kind = make_feeds(gateway, store, peers, store_status)
     follower = Follower(gateway, feeds_by_kind, store_status, peers)
+    probe = StoreProbe(gateway, store, store_status, feeds_by_kind.values())
     gateway.request_grants = follower.request_grants
     tasks = [asyncio.create_task(feed.run()) for feed in feeds_by_kind.values()]
     tasks.append(asyncio.create_task(follower.run()))
+    tasks.append(asyncio.create_task(probe.run()))
     tasks.append(asyncio.create_task(register_instance(gateway, store, feeds_by_kind[INSTANCES])))
     tasks.append(asyncio.create_task(watch_settings(gateway, reload_requested)))
     gateway.pauses = PauseGuard(
--- a/flamingostack/platform/objects.py
+++ b/flamingostack/platform/objects.py
@@ -105,6 +105,12 @@
         except (KeyError, TypeError, AttributeError) as error:
             return StoreFailure(StoreReason.UNAVAILABLE, f"{kind}: malformed events: {error!r}")
 
+    async def is_answering(self) -> bool:
+        """Return whether the store answers a call at all, by a list that costs a tenth."""
+        query = urlencode({"allowStale": "1"})
+        response = await self._send("GET", f"{self.url}/{EVACUATIONS}?{query}", None)
+        return not isinstance(response, StoreFailure)
+
     async def put(self, kind: str, name: str, value: object) -> None | StoreFailure:
         """Create an object, or replace it regardless of its revision; return None on success.
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -20,6 +20,7 @@
 from flamingostack.gateway.listener import open_listener
 from flamingostack.gateway.main import listen, shut_down
 from flamingostack.gateway.model import InstanceSettings
+from flamingostack.gateway.probe import StoreProbe
 from flamingostack.gateway.relay import PeerClient, make_relay_server
 from flamingostack.gateway.sender import Sender
 from flamingostack.gateway.server import CallerServer, make_readiness_server
@@ -212,6 +213,10 @@
         self.gateway.request_grants = self.follower.request_grants
         self.tasks = [asyncio.create_task(feed.run()) for feed in self.feeds_by_kind.values()]
         self.tasks.append(asyncio.create_task(self.follower.run()))
+        probe = StoreProbe(
+            self.gateway, self.objects, self.store_status, self.feeds_by_kind.values()
+        )
+        self.tasks.append(asyncio.create_task(probe.run()))
         self.relay_server = make_relay_server(self.gateway, self.feeds_by_kind, self.store_status)
         self.relay = await listen(self.relay_server, (HOST, 0))
         self.relay_port = self.relay.sockets[0].getsockname()[1]
