Learn sooner that a low limit has ended

Cause: the instances that leave a limited target to others tried it with a sixteenth of the limit together. With a limit of 1 a second and 8 instances that is once in 112 s each. If all targets of a shard had named such limits, seven of eight instances would not have used it for nearly two minutes after their end.

Ruled out: forgetting a limit after a time, since all instances would try at once.

Change: at least one try in 2 s of all together, taken off what the users send; and the users are counted with a part of the five requests by which a target may exceed its limit, so that 3 of 8 instances use a target with 1 a second, not 1.

Before and after: the new test asks that 8 instances have learnt it 16 s after the end; on the parent, some had not. The replays of all fleets stay within the rule, with three fleets of lower limits added.

Conclusion: for small fleets.

--- a/flamingostack/gateway/limits.py
+++ b/flamingostack/gateway/limits.py
@@ -9,8 +9,9 @@
 limit also holds if all send at the same time. The others leave the target to them and try it one
 after another, so that each learns when the limit has ended.
 
-In any 4 s all instances together thus send at most 3.6 + 1.6 + 0.4 times the limit: requests that
-are spaced, those at the same time, and tries. Times are in seconds of the event loop's clock.
+In any 4 s all instances together thus send at most 3.6 times the limit, spaced, 1.6 times the limit
+and one or two at the same time, and tries: a sixth of the limit, or three. Times are in seconds of
+the event loop's clock.
 """
 
 from __future__ import annotations
@@ -22,16 +23,21 @@
 # Share of the limit that is used. The remainder allows for requests that opening a connection
 # delays, and for instances that don't know of each other yet.
 USABLE_LIMIT_SHARE = 0.9
-# How many requests all instances together may send at the same time, in seconds of the limit, and
-# one of them after a pause.
+# How many requests all instances together may send at the same time: seconds of the limit, and a
+# part of the five requests by which a target may exceed it. One instance sends two after a pause.
 BURST_S = 1.6
+BURST_SLACK = 1.5
 MAX_BURST = 2
 # A lower limit, such as 0, could never be found to have ended.
 MIN_LIMIT_PER_S = 0.1
-# Share of the limit for the tries of the other instances. A turn without a request to send is
-# missed, so that turns don't add up.
+# Share of the limit for the tries of the other instances, but at least so many a second: with a low
+# limit they would learn minutes late that it has ended. A turn without a request to send is missed,
+# so that turns don't add up.
 TURNS_LIMIT_SHARE = 1 / 16
+MIN_TRIES_PER_S = 0.5
 TURN_S = 2.0
+# The tries are taken off the limit that is used, but no more than down to this share of it.
+MIN_USABLE_LIMIT_SHARE = 0.5
 
 
 class Spaced:
@@ -107,13 +113,17 @@
     """Return the share of an instance in a limit of requests a second of all `instances`."""
     limit = max(requests_per_s, MIN_LIMIT_PER_S)
     total = len(instances)
-    largest_burst = max(int(limit * BURST_S), 1)
+    largest_burst = max(int(limit * BURST_S + BURST_SLACK), 1)
     users = min(total, largest_burst)
+    others = total - users
+    tries_per_s = max(limit * TURNS_LIMIT_SHARE, MIN_TRIES_PER_S)
+    usable_per_s = limit * USABLE_LIMIT_SHARE
+    if others:
+        usable_per_s = max(usable_per_s - tries_per_s, limit * MIN_USABLE_LIMIT_SHARE)
     own_rank = compute_cross_domain_rank(instance, target_id)
     position = sum(compute_cross_domain_rank(name, target_id) < own_rank for name in instances)
     if position < users:
         burst = min(largest_burst // users, MAX_BURST)
-        return Spaced(users / (limit * USABLE_LIMIT_SHARE), burst)
-    others = total - users
-    interval_s = max(others / (limit * TURNS_LIMIT_SHARE), 2 * TURN_S)
+        return Spaced(users / usable_per_s, burst)
+    interval_s = max(others / tries_per_s, 2 * TURN_S)
     return InTurns(interval_s, interval_s * (position - users + 1) / others)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -96,6 +96,9 @@
     # Instances, limit and requests a second that would go to the target without one.
     FLEETS = (
         (1, 0.4, 5.0),
+        (8, 0.1, 20.0),
+        (8, 1.0, 60.0),
+        (64, 1.0, 60.0),
         (6, 17.8, 40.0),
         (8, 4.0, 60.0),
         (8, 100.0, 300.0),
@@ -154,6 +157,16 @@
             used = sum(at > 10 for at in replay.arrivals) / 50
             self.assertGreaterEqual(used / limit, 0.5, (count, limit))
 
+    def test_small_fleets_learn_within_seconds_that_a_low_limit_has_ended(self):
+        # All targets of a shard may have had such a limit, and nobody else can serve it.
+        def limit_at(at):
+            return 1.0 if at < 20 else None
+
+        for seed in range(5):
+            replay = FleetReplay(8, seed)
+            replay.run(20 + 16, 60.0, limit_at)
+            self.assertEqual(replay.sends_by_instance, {}, seed)
+
     def test_all_instances_learn_that_the_limit_has_ended(self):
         def limit_at(at):
             return 12.0 if at < 10 else None
@@ -178,7 +191,7 @@
             )
             for target in ("i-1", "i-2")
         }
-        self.assertEqual([len(users) for users in users_by_target.values()], [8, 8])
+        self.assertEqual([len(users) for users in users_by_target.values()], [9, 9])
         self.assertNotEqual(*users_by_target.values())
 
     def test_limit_of_zero_is_still_tried(self):
