--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -103,8 +103,10 @@
     jobs: Annotated[int, cyclopts.Parameter(help="seeds to run at the same time")] = 2,
     slot: Annotated[int, cyclopts.Parameter(help="address range of this run, 0 to 99")] = 0,
     profile: Annotated[
-        Literal["usual", "hostile", "hostile-store"],
-        cyclopts.Parameter(help="which faults: the usual ones, or peers that send hostile bytes"),
+        Literal["usual", "hostile", "hostile-store", "notices"],
+        cyclopts.Parameter(
+            help="faults: the usual, hostile bytes of peers, or targets that ask for less"
+        ),
     ] = DEFAULT_PROFILE,
 ) -> None:
     """Run seeds; exit with status 1 if there was a violation."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,6 +21,15 @@
 CONFIGURATION_DEADLINE_S = 3.0
 EVACUATION_DEADLINE_S = 5.0
 DRAIN_DEADLINE_S = 3.0
+# A target may get one and a half times its limit in 4 s, and 5 requests, from processes that were
+# told half a second before.
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5
+LIMIT_TOLD_S = 0.5
+# Of a process that a target has told that it is closed, it may get two requests from then on.
+CLOSED_TOLD_S = 0.5
+MAX_CLOSED_ARRIVALS = 2
 # A fault excuses an instance or a target until this long after its end.
 FAULT_FREE_LEAD_S = 4.0
 # Allowance for delays of the soak's own tasks, which share one event loop.
@@ -49,6 +58,9 @@
         check_versions,
         check_evacuations,
         check_drains,
+        check_leaving,
+        check_limits,
+        check_closed,
         check_budget,
         check_cold,
         check_stops,
@@ -234,6 +246,105 @@
                 yield f"{arrival.request_id} from {outcome.instance} reached {arrival.target}"
 
 
+def find_told_at(environment: Environment, arrival: Arrival) -> float | None:
+    """Return when an instance had surely passed on a target's answer; None if it may not have.
+
+    Another send of the request to the service may have been answered in its place.
+    """
+    outcome = environment.ledger.outcomes_by_id.get(arrival.request_id)
+    if outcome is None or not arrival.answered_at or not outcome.status:
+        return None
+    stamps = outcome.headers.get("X-Part-Stamps") or outcome.headers.get("X-Response-Stamp", "")
+    has_part = make_response_stamp(arrival.service, arrival.request_id) in stamps
+    return outcome.ended_at if has_part or arrival.said_closed_s else None
+
+
+def group_by_process(
+    environment: Environment, arrivals: list[Arrival]
+) -> dict[tuple[str, str, int], list[Arrival]]:
+    """Group arrivals by target, instance and process of the instance."""
+    found = defaultdict(list)
+    for arrival in arrivals:
+        outcome = environment.ledger.outcomes_by_id.get(arrival.request_id)
+        if outcome is not None:
+            found[arrival.target, outcome.instance, outcome.process_number].append(arrival)
+    return found
+
+
+def find_only_arrivals(ledger: Ledger) -> list[Arrival]:
+    """Return the arrivals of requests that reached their service once."""
+    counts = Counter((a.request_id, a.service) for a in ledger.arrivals)
+    return [a for a in ledger.arrivals if counts[a.request_id, a.service] == 1]
+
+
+def check_leaving(environment: Environment) -> Iterator[str]:
+    """Check that a process leaves a target in time that has told it that it leaves."""
+    told_at_by_process = {}
+    said = [a for a in find_only_arrivals(environment.ledger) if a.said_leaving]
+    for process, arrivals in group_by_process(environment, said).items():
+        told_at = [find_told_at(environment, arrival) for arrival in arrivals]
+        told_at_by_process[process] = min((at for at in told_at if at is not None), default=None)
+    everything = group_by_process(environment, environment.ledger.arrivals)
+    for process, told_at in told_at_by_process.items():
+        if told_at is None:
+            continue
+        for arrival in everything[process]:
+            sent_at = environment.ledger.outcomes_by_id[arrival.request_id].sent_at
+            if sent_at > told_at + DRAIN_DEADLINE_S:
+                late_s = sent_at - told_at
+                yield f"{arrival.request_id} from {process[1]} reached {process[0]}, {late_s:.1f} s"
+                break
+
+
+def check_limits(environment: Environment) -> Iterator[str]:
+    """Check that a target gets what it has named at most, with overshoot and slack, in 4 s.
+
+    Counted are arrivals of processes that had been told half a second before. The highest limit
+    that the target named in the window, or has not named any more, counts.
+    """
+    told_at_by_process = {}
+    said = [a for a in find_only_arrivals(environment.ledger) if a.said_limit is not None]
+    for process, arrivals in group_by_process(environment, said).items():
+        told_at = [find_told_at(environment, arrival) for arrival in arrivals]
+        told_at_by_process[process] = min(
+            (at for at in told_at if at is not None), default=float("inf")
+        )
+    arrivals_by_target = defaultdict(list)
+    for process, arrivals in group_by_process(environment, environment.ledger.arrivals).items():
+        arrivals_by_target[process[0]] += [(a.at, process, a) for a in arrivals if a.answered_at]
+    for target, entries in arrivals_by_target.items():
+        entries.sort(key=lambda entry: entry[0])
+        limits = [(at, arrival.said_limit) for at, _, arrival in entries]
+        first_at = next((at for at, limit in limits if limit is not None), None)
+        if first_at is None:
+            continue
+        for start, _, _ in entries:
+            end = start + LIMIT_WINDOW_S
+            in_force = [limit for at, limit in limits if start - LIMIT_WINDOW_S <= at <= end]
+            if start < first_at + FAULT_FREE_LEAD_S or None in in_force:
+                continue
+            count = sum(
+                start <= at < end and at > told_at_by_process.get(process, at) + LIMIT_TOLD_S
+                for at, process, _ in entries
+            )
+            allowed = max(in_force) * LIMIT_WINDOW_S * LIMIT_OVERSHOOT + LIMIT_SLACK
+            if count > allowed:
+                yield f"{target} got {count} in {LIMIT_WINDOW_S:.0f} s, {allowed:.0f} allowed"
+                break
+
+
+def check_closed(environment: Environment) -> Iterator[str]:
+    """Check that a process sends two requests at most to a target that wants none for a time."""
+    for process, arrivals in group_by_process(environment, environment.ledger.arrivals).items():
+        for closing in arrivals:
+            begin = closing.answered_at + CLOSED_TOLD_S + SCHEDULING_SLACK_S
+            end = closing.answered_at + closing.said_closed_s
+            count = sum(begin < arrival.at < end for arrival in arrivals)
+            if closing.said_closed_s and count > MAX_CLOSED_ARRIVALS:
+                yield f"{process[0]} got {count} from {process[1]} while it was closed"
+                break
+
+
 def check_budget(environment: Environment) -> Iterator[str]:
     """Check that the extra sends to each service stay within the retry budget in every window.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,8 @@
 FAULTS_PER_S = 0.7
 # Deadlines don't apply to a process until this long after its start.
 STARTUP_S = 2.0
+# A limit of requests counts from this long after a target first named one.
+LIMIT_SETTLE_S = 4.0
 # A fault counts until this long after its end, for requests and calls then in flight.
 RECOVERY_SLACK_S = 1.0
 
@@ -257,6 +259,52 @@
     return f"target {old.id} of {old.service} drained, its address reused"
 
 
+async def leave_by_answers(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Let a target say only in its answers that it leaves, and stop it some seconds later.
+
+    The store is silent meanwhile in half of the cases.
+    """
+    old = rng.choice([t for t in environment.targets if not t.is_draining and not t.is_leaving])
+    old.is_leaving = True
+    if rng.random() < 0.5:
+        await store_itself(environment, rng, seconds)
+    await asyncio.sleep(6.0)
+    old.is_draining = True
+    recording = asyncio.create_task(record_fault(environment, [old.id], 0.1))
+    environment.unregister(old)
+    await old.stop()
+    await recording
+    await environment.add_target(old.service, old.domain)
+    return f"target {old.id} of {old.service} left by its answers"
+
+
+async def name_limits(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Let up to a third of the targets name limits, which change once, and then end."""
+    serving = [t for t in environment.targets if not t.is_draining and t.limit is None]
+    chosen = rng.sample(serving, rng.randint(1, max(len(serving) // 3, 1)))
+    for target in chosen:
+        target.limit = rng.choice((0.0, 0.5, 2.0, 6.5))
+    await asyncio.sleep(LIMIT_SETTLE_S + seconds)
+    for target in chosen:
+        target.limit = rng.choice((1.0, 3.0))
+    await asyncio.sleep(LIMIT_SETTLE_S + seconds)
+    for target in chosen:
+        target.limit = None
+    return f"limits of {[t.id for t in chosen]}"
+
+
+async def close_targets(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Let some targets refuse half of their requests, and want none from the caller for a time."""
+    serving = [t for t in environment.targets if not t.is_draining and not t.closed_s]
+    chosen = rng.sample(serving, rng.randint(1, 4))
+    for target in chosen:
+        target.closed_s, target.closed_probability = rng.uniform(0.6, 3.0), 0.5
+    await asyncio.sleep(seconds)
+    for target in chosen:
+        target.closed_s = 0.0
+    return f"targets {[t.id for t in chosen]} were closed by turns"
+
+
 async def evacuate(environment: Environment, rng: random.Random, seconds: float) -> str:
     """Evacuate a failure domain and end the evacuation after `seconds` and 6 s more."""
     domain = rng.choice(DOMAINS)
@@ -374,6 +422,19 @@
         configurations,
         terminate,
     ),
+    "notices": (
+        leave_by_answers,
+        leave_by_answers,
+        name_limits,
+        name_limits,
+        close_targets,
+        close_targets,
+        store_itself,
+        store_path,
+        configurations,
+        terminate,
+        kill,
+    ),
 }
 
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -23,6 +23,12 @@
     has_run: bool
     # The limit in requests per second if the target was cold, else None.
     cold_limit: float | None
+    # What the target said of itself with its answer: that it leaves, how many requests a second it
+    # takes from all instances together, and for how long it wants none from this one.
+    said_leaving: bool = False
+    said_limit: float | None = None
+    said_closed_s: float = 0.0
+    answered_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -55,6 +55,11 @@
         self.fault = ""
         self.fault_probability = 1.0
         self.is_draining = False
+        # What the target says of itself with its answers; the store does not know it.
+        self.is_leaving = False
+        self.limit: float | None = None
+        self.closed_s = 0.0
+        self.closed_probability = 0.0
         self.cold_until = 0.0
         self.cold_limit = 0.0
         self.running = 0
@@ -111,6 +116,8 @@
         if (is_faulty and self.fault == "shed") or self.waiting >= QUEUE_LIMIT:
             headers = {"X-Not-Executed": "1", "X-Server-Load": self._format_load()}
             return web.Response(status=503, headers=headers)
+        if self.closed_s and self.rng.random() < self.closed_probability:
+            return web.Response(status=503, headers=self._refuse_for_a_time(arrival))
         self.waiting += 1
         try:
             await self._slots.acquire()
@@ -134,7 +141,7 @@
             "X-Request-Id": arrival.request_id,
             "X-Response-Stamp": make_response_stamp(self.service, arrival.request_id),
             "X-Server-Load": self._format_load(),
-        }
+        } | self._make_notice(arrival)
         match fault:
             case "hostile":
                 await play_answer(request.transport, headers, body, self.rng)
@@ -164,5 +171,16 @@
                 loop.call_later(0.03, transport.write, late_response.encode() + body)
         return web.Response(body=body, headers=headers)
 
+    def _refuse_for_a_time(self, arrival: Arrival) -> dict[str, str]:
+        arrival.said_closed_s = self.closed_s
+        headers = {"X-Not-Executed": "1", "Retry-After": f"{self.closed_s:.2f}"}
+        return headers | {"X-Request-Id": arrival.request_id} | self._make_notice(arrival)
+
+    def _make_notice(self, arrival: Arrival) -> dict[str, str]:
+        arrival.said_leaving, arrival.said_limit = self.is_leaving, self.limit
+        arrival.answered_at = asyncio.get_running_loop().time()
+        headers = {"Server-Leaving": "1"} if self.is_leaving else {}
+        return headers if self.limit is None else headers | {"Server-Limit": str(self.limit)}
+
     def _format_load(self) -> str:
         return f"{self.running},{self.waiting},{SLOTS}"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -135,6 +135,45 @@
         self.environment.ledger.changes[0].reverted_at = 9.0
         self.assertEqual(self.count_violations(checks.check_drains), 0)
 
+    def test_work_for_a_target_that_has_said_it_leaves_is_found(self):
+        self.add_arrival("r1", said_leaving=True, answered_at=10.06)
+        self.add_outcome("r2", "all", sent_at=13.0, ended_at=13.1)
+        self.add_arrival("r2", at=13.05)
+        self.assertEqual(self.count_violations(checks.check_leaving), 0)
+        self.add_outcome("r3", "all", sent_at=13.2, ended_at=13.3)
+        self.add_arrival("r3", at=13.25)
+        self.assertEqual(self.count_violations(checks.check_leaving), 1)
+        # Another process has not been told.
+        self.environment.ledger.outcomes_by_id["r3"].process_number = 2
+        self.assertEqual(self.count_violations(checks.check_leaving), 0)
+
+    def test_more_than_a_target_takes_is_found(self):
+        self.add_arrival("r1", said_limit=2.0, answered_at=10.06)
+        # 17 in 4 s are allowed from 4 s after the first word on.
+        for number in range(18):
+            self.add_outcome(f"x{number}", "all", sent_at=15.0, ended_at=15.2)
+        for number in range(17):
+            self.add_arrival(f"x{number}", at=15.1, said_limit=2.0, answered_at=15.15)
+        self.assertEqual(self.count_violations(checks.check_limits), 0)
+        self.add_arrival("x17", at=15.1, said_limit=2.0, answered_at=15.15)
+        self.assertEqual(self.count_violations(checks.check_limits), 1)
+        # Half of them from a process that has just been told.
+        for number in range(9):
+            self.environment.ledger.outcomes_by_id[f"x{number}"].process_number = 2
+        self.assertEqual(self.count_violations(checks.check_limits), 0)
+
+    def test_work_for_a_closed_target_is_found(self):
+        self.add_arrival("r1", said_closed_s=3.0, answered_at=10.06)
+        for number in range(3):
+            self.add_outcome(f"x{number}", "all", sent_at=11.5, ended_at=11.7)
+        for number in range(2):
+            self.add_arrival(f"x{number}", at=11.6)
+        self.assertEqual(self.count_violations(checks.check_closed), 0)
+        self.add_arrival("x2", at=13.2)
+        self.assertEqual(self.count_violations(checks.check_closed), 0)
+        self.add_arrival("x2", at=11.6)
+        self.assertEqual(self.count_violations(checks.check_closed), 1)
+
     def test_too_many_repeats_and_cold_sends_are_found(self):
         for number in range(41):
             self.add_outcome(f"x{number}", "one")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 SHORT_RUN_S = 6
 SEEDS = (1,)
 HOSTILE_SEEDS = (3,)
+NOTICE_SEEDS = (12,)
 LONG_RUN_S = 14
 # Stops cut requests on a machine with a load of three for each core: instances were still starting
 # (the first three) or had stood still (the next one). The others are not traced.
@@ -79,6 +80,10 @@
         for seed in HOSTILE_SEEDS:
             await self.run_seed(seed, SHORT_RUN_S, "--profile", "hostile")
 
+    async def test_targets_that_ask_for_less(self):
+        for seed in NOTICE_SEEDS:
+            await self.run_seed(seed, SHORT_RUN_S, "--profile", "notices")
+
     async def test_hostile_seed_9(self):
         # Bodies in short chunks from several targets let processes grow by 45 MiB.
         await self.run_seed(9, LONG_RUN_S, "--profile", "hostile")
