Correct the bound of tries in the description of limits

Cause: turns of 2 s and a window of 4 s allow six seconds of tries, not four.

Change: the module's text.

Conclusion: 3.6 + 1.6 + 0.4 times the limit stay below six times, as before.

--- a/flamingostack/gateway/limits.py
+++ b/flamingostack/gateway/limits.py
@@ -10,8 +10,8 @@
 after another, so that each learns when the limit has ended.
 
 In any 4 s all instances together thus send at most 3.6 times the limit, spaced, 1.6 times the limit
-and one or two at the same time, and tries: a sixth of the limit, or three. Times are in seconds of
-the event loop's clock.
+and one or two at the same time, and tries: three eighths of the limit, or three. Times are in
+seconds of the event loop's clock.
 """
 
 from __future__ import annotations
