Name the follower's task in the tests' gateway

Cause: PooledQueryTest cancels the last task of its gateway to stop the follower.

Change: RunningGateway.follower_task, which the tests cancel by name. No check changes.

Conclusion: a fault of the tests' gateway, not of the pool.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -212,11 +212,12 @@
         self.follower = Follower(self.gateway, self.feeds_by_kind, self.store_status, self.peers)
         self.gateway.request_grants = self.follower.request_grants
         self.tasks = [asyncio.create_task(feed.run()) for feed in self.feeds_by_kind.values()]
-        self.tasks.append(asyncio.create_task(self.follower.run()))
         probe = StoreProbe(
             self.gateway, self.objects, self.store_status, self.feeds_by_kind.values()
         )
         self.tasks.append(asyncio.create_task(probe.run()))
+        self.follower_task = asyncio.create_task(self.follower.run())
+        self.tasks.append(self.follower_task)
         self.relay_server = make_relay_server(self.gateway, self.feeds_by_kind, self.store_status)
         self.relay = await listen(self.relay_server, (HOST, 0))
         self.relay_port = self.relay.sockets[0].getsockname()[1]
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -74,7 +74,7 @@
         route = make_route("all", fanOutServices=list(targets_by_service), **fields)
         running = await self.start_gateway(targets_by_service, [route], domains)
         # The follower would set the number of instances again.
-        running.tasks[-1].cancel()
+        running.follower_task.cancel()
         running.gateway.budget.instance_count = 1000
         running.gateway.budget.pooled_instances = 200
         self.asked = []
