--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,9 +25,13 @@
 SERVE_AFTER_LEAVING_S = 14.0
 # Allowance for the stand-ins, which share a machine with the gateways.
 SLACK_S = 0.2
+# Requesters come to these machines only after the searchers have left.
+QUIET_AFTER_LEAVING_S = 5.5
 INTERVAL_S = 0.03
 TIME_LIMIT_S = 1.0
 SERVICE = "planner"
+# About the work that the site file gives this kind of request.
+WORK_S = 0.075
 
 
 async def play(deployment: Deployment, has_trouble: bool) -> list[str]:
@@ -35,7 +39,7 @@
     draw = random.Random(3)
     for number in range(SEARCHERS):
         await deployment.add_searcher(
-            Searcher(f"i-{number}", SERVICE, ZONE, deployment.runs, work_s=0.005)
+            Searcher(f"i-{number}", SERVICE, ZONE, deployment.runs, work_s=WORK_S)
         )
     deployment.put_config(
         [
@@ -53,10 +57,6 @@
         await deployment.add_gateway(f"front-{ZONE}-{number}", ZONE)
         for number in range(1, MACHINES + 1)
     ]
-    probes = [
-        asyncio.create_task(probe(deployment.add_requester(f"{gateway.name}-r", gateway)))
-        for gateway in gateways
-    ]
     await asyncio.sleep(2 * STABILITY_WINDOW_S)
     leaving = draw.sample(deployment.searchers, LEAVING)
     reports = []
@@ -72,11 +72,17 @@
         index = deployment.searchers.index(searcher)
         if reports:
             reports[index].cancel()
+        searcher.is_leaving = True
         deployment.store.delete("servers", searcher.id)
         left_at[searcher.id] = time.monotonic()
         deployment.note(f"{searcher.id} leaves: acked by the store")
         await asyncio.sleep(0.1)
-    await asyncio.sleep(SERVE_AFTER_LEAVING_S)
+    await asyncio.sleep(QUIET_AFTER_LEAVING_S)
+    probes = [
+        asyncio.create_task(probe(deployment.add_requester(f"{gateway.name}-r", gateway)))
+        for gateway in gateways
+    ]
+    await asyncio.sleep(SERVE_AFTER_LEAVING_S - QUIET_AFTER_LEAVING_S)
     for task in (*probes, *reports):
         task.cancel()
     await asyncio.wait((*probes, *reports))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""DRAIN: after a power loss of machines, those that are left use searchers that have left."""
+"""CONFIG: after a power loss of machines, those that are left act on an old config."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
     Gateway,
     run_case,
 )
-from harness.requester import Requester
-from harness.searcher import Run, Searcher
+from harness.requester import Outcome, Requester
+from harness.searcher import Searcher
 
 ZONE = "pw-regina"
 MACHINES = 8
@@ -23,33 +23,25 @@
 # are ranked by a hash of their names, and these are the first four.
 WITHOUT_POWER = (5, 1, 4, 8)
 POWER_LOSS_S = 5.0
-SEARCHERS = 8
-# Two searchers report that they leave: one just before machines lose power, one just after.
-LEAVING = (2, 6)
-BETWEEN_REPORTS_S = 0.2
-DRAIN_TIMEOUT_S = 5.0
+# The operator writes two versions, and machines lose power between them.
+SERVICES = ("old", "middle", "new")
+BETWEEN_VERSIONS_S = 0.2
+CONFIG_APPLY_S = 5.0
 STABILITY_WINDOW_S = 5.0
 # Allowance for the stand-ins, which share a machine with the gateways.
 SLACK_S = 0.1
-INTERVAL_S = 0.01
+INTERVAL_S = 0.05
 TIME_LIMIT_S = 1.0
-SERVICE = "planner"
 
 
 async def play(deployment: Deployment, has_trouble: bool) -> list[str]:
-    """Take the power of some machines while searchers leave."""
-    for number in range(SEARCHERS):
-        await deployment.add_searcher(
-            Searcher(f"i-{number}", SERVICE, ZONE, deployment.runs, work_s=0.005)
-        )
-    route = {
-        "name": "r-history",
-        "pathPrefix": "/history/",
-        "timeoutMs": 1000,
-        "targetLatencyMs": 405,
-        "service": SERVICE,
-    }
-    deployment.put_config([route], [SERVICE])
+    """Take the power of some machines, and change the config."""
+    for service in SERVICES:
+        for number in range(3):
+            await deployment.add_searcher(
+                Searcher(f"i-{service}-{number}", service, ZONE, deployment.runs, work_s=0.005)
+            )
+    put_route(deployment, "old")
     gateways = {
         number: await deployment.add_gateway(f"front-{ZONE}-{number}", ZONE)
         for number in range(1, MACHINES + 1)
@@ -62,15 +54,16 @@
     ]
     # The remaining machines are in touch when the others lose power.
     await asyncio.sleep(2 * STABILITY_WINDOW_S)
-    left_at = {LEAVING[0]: leave(deployment, LEAVING[0])}
-    await asyncio.sleep(BETWEEN_REPORTS_S)
+    put_route(deployment, "middle")
+    await asyncio.sleep(BETWEEN_VERSIONS_S)
     if has_trouble:
         for gateway in lost:
             # A machine without power does not respond, and connections to it hang.
             gateway.process.send_signal(SIGSTOP)
         deployment.note(f"{', '.join(gateway.name for gateway in lost)} lose power")
     lost_at = time.monotonic()
-    left_at[LEAVING[1]] = leave(deployment, LEAVING[1])
+    put_route(deployment, "new")
+    acked_at = time.monotonic()
     await asyncio.sleep(lost_at + POWER_LOSS_S - time.monotonic())
     if has_trouble:
         await asyncio.gather(*(gateway.end(SIGKILL) for gateway in lost))
@@ -82,24 +75,23 @@
         task.cancel()
     await asyncio.wait(probes)
     return [
-        f"DRAIN: {len(late)} requests of {gateway.name} reached i-{number} too late, "
-        f"the last {late[-1].at - at:.2f} s after the ack"
+        f"CONFIG: {len(late)} requests to {gateway.name} were run as an older version says, "
+        f"the last was sent {late[-1].sent_at - acked_at:.2f} s after the ack"
         for gateway in left
-        for number, at in left_at.items()
-        if (late := find_late(deployment, gateway, f"i-{number}", at))
+        if (late := find_late(deployment, gateway, acked_at))
     ]
 
 
-def leave(deployment: Deployment, number: int) -> float:
-    """Write the report of a searcher that it leaves; return when the store has accepted it.
-
-    The searcher serves until the end of the script.
-    """
-    searcher = deployment.searchers[number]
-    entry = searcher.make_entry() | {"state": "draining"}
-    deployment.store.put("servers", searcher.id, entry)
-    deployment.note(f"{searcher.id} is draining: acked by the store")
-    return time.monotonic()
+def put_route(deployment: Deployment, service: str) -> None:
+    """Write a version in which the route goes to a service."""
+    route = {
+        "name": "r-history",
+        "pathPrefix": "/history/",
+        "timeoutMs": 1000,
+        "targetLatencyMs": 405,
+        "service": service,
+    }
+    deployment.put_config([route], list(SERVICES))
 
 
 async def probe(requester: Requester) -> None:
@@ -109,16 +101,15 @@
         await asyncio.sleep(INTERVAL_S)
 
 
-def find_late(
-    deployment: Deployment, gateway: Gateway, searcher_id: str, left_at: float
-) -> list[Run]:
-    """Return the requests of a gateway that reached a searcher too late."""
+def find_late(deployment: Deployment, gateway: Gateway, acked_at: float) -> list[Outcome]:
+    """Return the requests that were sent too late to be run as an older version says."""
+    old_ids = {run.request_id for run in deployment.runs if run.service != "new"}
     return [
-        run
-        for run in deployment.runs
-        if run.target == searcher_id
-        and run.request_id.startswith(f"{gateway.name}-r")
-        and run.at > left_at + DRAIN_TIMEOUT_S + SLACK_S
+        outcome
+        for outcome in deployment.outcomes
+        if outcome.request_id.startswith(f"{gateway.name}-r")
+        and outcome.request_id in old_ids
+        and outcome.sent_at > acked_at + CONFIG_APPLY_S + SLACK_S
     ]
 
 
--- a/review/harness/searcher.py
+++ b/review/harness/searcher.py
@@ -65,6 +65,8 @@
         self.slots = slots
         self.queue = queue
         self.choose_status = choose_status
+        # Whether it leaves, and says so in its answers.
+        self.is_leaving = False
         self.running = 0
         self.waiting = 0
         self.address = ""
@@ -116,6 +118,8 @@
     async def _answer(self, request: Message) -> bytes:
         request_id = request.headers.get("x-request-id", "")
         echo = {"X-Request-Id": request_id}
+        if self.is_leaving:
+            echo["Server-Leaving"] = "1"
         if request.headers.get("x-expected-instance") not in (None, self.id):
             return encode_response(421, echo | {"X-Instance-Id": self.id})
         if self.waiting >= self.queue:
@@ -132,12 +136,12 @@
             self.waiting -= 1
         self.running += 1
         try:
-            return await self._run(request_id, until)
+            return await self._run(request_id, until, echo)
         finally:
             self.running -= 1
             self._free.release()
 
-    async def _run(self, request_id: str, until: float) -> bytes:
+    async def _run(self, request_id: str, until: float, echo: dict[str, str]) -> bytes:
         run = Run(time.monotonic(), request_id, self.service, self.id)
         self.runs.append(run)
         left_s = until - time.monotonic()
@@ -145,8 +149,7 @@
         await asyncio.sleep(min(work_s, left_s))
         run.status = self.choose_status() if work_s <= left_s else 504
         run.ended_at = time.monotonic()
-        headers = {
-            "X-Request-Id": request_id,
+        headers = echo | {
             "X-Response-Stamp": make_stamp(self.service, request_id),
             "X-Server-Load": f"{self.running},{self.waiting},{self.slots}",
         }
