Relay the last event of an object that an answer holds twice

Callers' requests reached targets that had left, 5.5 to 10 s after the store had acknowledged it (DRAIN), on instances that follow others.

Cause: Feed.remember sorted the events of an answer into present and deleted objects without regard to their order. An object that changes and is deleted in one answer was dropped from the deletions again, so that followers never heard of it; one that is deleted and made again was dropped from the objects. All kinds of objects are affected.

Ruled out: a reader that holds the removal back, and a follower that does not apply it. A feed fed by hand shows that the reader's own objects are right and that changes_since names nothing.

Change: the last event of each object counts.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -374,12 +374,14 @@
 
     def remember(self, result: StoredRecords) -> None:
         """Keep objects and deletions for the followers of this instance."""
-        present = {record.name: record for record in result.records if record.value is not None}
-        deleted = {record.name for record in result.records if record.value is None}
+        # One answer may hold several events of an object, of which the last one counts.
+        last_by_name = {record.name: record for record in result.records}
+        present = {name: item for name, item in last_by_name.items() if item.value is not None}
         if result.is_whole:
             deleted = self.records_by_name.keys() - present.keys()
             self.records_by_name = present
         else:
+            deleted = last_by_name.keys() - present.keys()
             self.records_by_name.update(present)
         for name in deleted:
             self.records_by_name.pop(name, None)
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -1,9 +1,12 @@
 """Tests of flamingostack.gateway.feeds and flamingostack.gateway.picture."""
 
 import asyncio
+import random
 import unittest
+from unittest import mock
 
-from flamingostack.gateway.feeds import FIRST_WATCH_PAUSE_S, TARGET_WATCH_PAUSE_S
+from flamingostack.gateway.feeds import FIRST_WATCH_PAUSE_S, TARGET_WATCH_PAUSE_S, Feed, StoreStatus
+from flamingostack.gateway.model import StoredRecord, StoredRecords
 
 from .fakes import (
     FakeTarget,
@@ -291,3 +294,69 @@
         target = running.gateway.directory.targets_by_id[self.targets[0].id]
         # 50% and 70% of the connection cap of 40, divided among 4 instances.
         self.assertEqual((target.soft_max_connections, target.max_connections), (5, 7))
+
+
+class RelayedChangesTest(unittest.TestCase):
+    """Guards against followers that miss a change because one answer holds an object twice."""
+
+    CHANGED, DELETED = {"state": "ready"}, None
+
+    def make_feed(self) -> Feed:
+        """Return a feed that is not run, with the objects a and b, at revision 10."""
+        gateway = mock.Mock(now=lambda: 100.0)
+        store_status = StoreStatus(gateway.now)
+        feed = Feed(gateway, None, "servers", mock.Mock(), mock.Mock(), None, store_status)
+        listed = [StoredRecord(name, 5, {}) for name in "ab"]
+        feed.apply(StoredRecords(listed, 10, is_whole=True))
+        return feed
+
+    def relay(self, reader: Feed, follower: Feed) -> None:
+        changes = reader.changes_since(follower.revision)
+        if changes is not None:
+            follower.apply(changes)
+
+    def names_after(self, *events: tuple[str, object]) -> set[str]:
+        """Return the objects that a follower knows after an answer with these events."""
+        reader, follower = self.make_feed(), self.make_feed()
+        records = [StoredRecord(name, 11 + n, value) for n, (name, value) in enumerate(events)]
+        reader.apply(StoredRecords(records, 20, is_whole=False))
+        self.relay(reader, follower)
+        self.assertEqual(follower.records_by_name.keys(), reader.records_by_name.keys())
+        return set(follower.records_by_name)
+
+    def test_object_that_changes_and_is_deleted_in_one_answer_is_gone_for_followers(self):
+        self.assertEqual(self.names_after(("a", self.CHANGED), ("a", self.DELETED)), {"b"})
+
+    def test_object_that_is_made_and_deleted_in_one_answer_is_gone_for_followers(self):
+        self.assertEqual(self.names_after(("c", self.CHANGED), ("c", self.DELETED)), {"a", "b"})
+
+    def test_object_that_is_deleted_and_made_again_in_one_answer_is_there_for_followers(self):
+        self.assertEqual(self.names_after(("a", self.DELETED), ("a", self.CHANGED)), {"a", "b"})
+
+    def test_object_that_returns_and_is_deleted_again_in_one_answer_is_gone_for_followers(self):
+        events = [("a", value) for value in (self.DELETED, self.CHANGED, self.DELETED)]
+        self.assertEqual(self.names_after(*events), {"b"})
+
+    def test_followers_know_what_their_reader_knows_whatever_an_answer_holds(self):
+        for seed in range(300):
+            draw = random.Random(seed)
+            reader, follower = self.make_feed(), self.make_feed()
+            present, revision = {"a", "b"}, 10
+            for _ in range(12):
+                records = []
+                for _ in range(draw.randrange(6)):
+                    name, revision = draw.choice("abcd"), revision + 1
+                    is_deleted = name in present and draw.random() < 0.5
+                    present = present - {name} if is_deleted else present | {name}
+                    value = None if is_deleted else {"revision": revision}
+                    records.append(StoredRecord(name, revision, value))
+                reader.apply(StoredRecords(records, revision, is_whole=False))
+                if draw.random() < 0.5:
+                    self.relay(reader, follower)
+            self.relay(reader, follower)
+            known = [
+                {name: record.value for name, record in feed.records_by_name.items()}
+                for feed in (reader, follower)
+            ]
+            self.assertEqual(known[1], known[0], f"seed {seed}")
+            self.assertEqual(set(known[0]), present, f"seed {seed}")
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from flamingostack.gateway.feeds import TARGET_WATCH_PAUSE_S
 from flamingostack.gateway.follower import MAX_STALENESS_S, Follower
 from flamingostack.gateway.model import TargetLoad
 from flamingostack.gateway.readers import choose_sources
@@ -91,6 +92,20 @@
             )
         )
 
+    async def test_target_that_changes_and_leaves_in_one_answer_is_not_used_by_followers(self):
+        await self.start_domain()
+        # The readers fetch both in the call after their pause.
+        self.store.put("servers", self.target.id, self.target.entry("one", coldRemainingMs=900))
+        await asyncio.sleep(0.1)
+        self.store.put("servers", self.target.id, self.target.entry("one", coldRemainingMs=700))
+        self.store.delete("servers", self.target.id)
+        await asyncio.sleep(TARGET_WATCH_PAUSE_S + 0.5)
+        known = {
+            name: list(running.gateway.directory.targets_by_id)
+            for name, running in self.running_by_name.items()
+        }
+        self.assertEqual(known, dict.fromkeys(NAMES, []))
+
     async def test_reader_that_is_cut_off_from_the_store_keeps_nobody_behind(self):
         await self.start_domain()
         silent = FakeObjectStore()
