Leave failures out of merged answers of routes with one shard

Callers of a route over a single shard got 200 with the signature of a failure, and a body without a hit, when its target answered 3xx or 4xx (MIXED).

Cause: such a status is the final answer of a request for one service, which _is_final_answer recognised by the number of parts. A route over one shard has one part too, and its answer is merged as if the part were a success.

Change: the destination of the route decides. A failed part of a route over shards is sent again or left out, however many shards there are.

--- a/flamingostack/gateway/query.py
+++ b/flamingostack/gateway/query.py
@@ -369,9 +369,13 @@
         self.plan.on_failed(part, may_have_run=result.outcome not in NOT_RUN_OUTCOMES)
 
     def _is_final_answer(self, result: SendResult) -> bool:
-        """Return whether a failure is the final answer: a 3xx or 4xx status for a single part."""
-        is_single = len(self.plan.parts) == 1
-        return is_single and result.outcome is SendOutcome.FAILED and 300 <= result.status < 500
+        """Return whether a failure is the final answer: a 3xx or 4xx status for a single target.
+
+        A failure is never a part of a merged answer, even if the route names only one shard.
+        """
+        if isinstance(self.route.destination, FanOut):
+            return False
+        return result.outcome is SendOutcome.FAILED and 300 <= result.status < 500
 
     def _record_extra_send(self, part: Part, target: Target, now: float) -> None:
         self.extra_sends += 1
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -452,6 +452,41 @@
         _, headers, _ = await running.get("/all/x")
         self.assertNotIn(self.targets[4].id, headers["X-Part-Stamps"])
 
+    async def test_failure_of_the_only_shard_is_no_part(self):
+        for status in (301, 404, 408, 429, 500, 503):
+
+            async def fail(target, request, status=status):
+                response = target.answer(request)
+                response.set_status(status)
+                return response
+
+            with self.subTest(status=status):
+                running = await self.serve_shards([fail])
+                got, headers, body = await running.get("/all/x")
+                self.assertEqual((got, headers.get("X-Part-Stamps")), (502, None))
+                self.assertNotIn(self.targets[0].record, body)
+
+    async def test_failure_of_the_only_shard_is_sent_to_another_target(self):
+        for status in (301, 404, 429, 500):
+            failed = []
+
+            async def fail_first(target, request, status=status, failed=failed):
+                response = target.answer(request)
+                if not failed:
+                    failed.append(target.id)
+                    response.set_status(status)
+                return response
+
+            with self.subTest(status=status):
+                targets = [FakeTarget(fail_first) for _ in range(2)]
+                fields = {"fanOutServices": ["one"], "maxResults": 3, "minPartShare": 0.75}
+                running = await self.start_gateway({"one": targets}, [make_route("all", **fields)])
+                got, headers, body = await running.get("/all/x")
+                (answering,) = (target for target in targets if target.id not in failed)
+                stamps = f"r1.{answering.id}"
+                self.assertEqual((got, headers.get("X-Part-Stamps")), (200, stamps))
+                self.assertEqual((headers["X-Missing-Parts"], body), ("0", answering.record))
+
     async def test_targets_that_refuse_at_random_are_tried_again_and_admission_stays_open(self):
         refused = {}
 
