Watch the store as soon as no followed instance answers

Callers were served by an old configuration, and by targets that had left, more than 5 s after a change (CONFIG, DRAIN), by instances that could reach the store all the time: the two instances they follow, and the two next in order, had lost power together.

Cause: the selection of a source counted as an answer of it, so that each silent pair was waited for anew, 2.5 to 3.3 s; and a silent source stayed fresh for 5.5 s after the store's last confirmation.

Evidence: store_watched now names the sources that answer. In the test the store was left to sources that had not answered since their selection.

Change: only a source that answers is followed. Sources that answer and are not fresh are waited for only in a known outage of the store. A new source is polled at once and has 0.5 s to answer before the instance turns from its predecessors to the store, so that outages are still left to a few.

Measured: the new test failed with 2, 4 and 6 of 10 instances silent, and passes with each.

--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -37,6 +37,9 @@
 # Higher than any revision of the store: a poll with it returns no changes, and only checks that an
 # instance answers.
 FUTURE_REVISION = 2**62
+# A source that answers does so at least this often. While none of the sources does, this instance
+# watches the store itself: they may all be gone, and the ones that would replace them too.
+MAX_ANSWER_INTERVAL_S = POLL_WAIT_S + PEER_TIMEOUT_S
 # A source that has not answered for this time is skipped for a while. A restart takes a second.
 UNREACHABLE_AFTER_S = 2.5
 # How often a skipped source is probed. Not more often, because the entries of instances that are
@@ -48,8 +51,8 @@
 # first readers is found by the next ones.
 LOST_AFTER_S = 0.5
 LOST_PROBE_INTERVAL_S = 2.0
-# While its sources answer, an instance leaves the store to them for this time after the last
-# confirmation of its state.
+# While its sources answer and an outage of the store is known, an instance leaves the store to them
+# for this time after the last confirmation of its state.
 MAX_UNCONFIRMED_S = 15.0
 
 
@@ -67,6 +70,7 @@
         "feeds_by_kind",
         "store_status",
         "peers",
+        "selected_at_by_source",
         "answered_at_by_source",
         "fresh_at_by_source",
         "unreachable_until_by_source",
@@ -87,6 +91,9 @@
         self.feeds_by_kind = feeds_by_kind
         self.store_status = store_status
         self.peers = peers
+        self.selected_at_by_source: dict[str, float] = {}
+        # When the sources last answered; those that have not answered since their selection are
+        # missing.
         self.answered_at_by_source: dict[str, float] = {}
         self.fresh_at_by_source: dict[str, float] = {}
         self.unreachable_until_by_source: dict[str, float] = {}
@@ -191,41 +198,61 @@
         """Start and stop polling tasks so that exactly these sources are polled."""
         for name in self._tasks_by_source.keys() - set(sources):
             self._tasks_by_source.pop(name).cancel()
+            self.answered_at_by_source.pop(name, None)
             self.fresh_at_by_source.pop(name, None)
             self.lost_since_by_source.pop(name, None)
         for name in sources:
             if name not in self._tasks_by_source:
-                self.answered_at_by_source[name] = self.gateway.now()
+                self.selected_at_by_source[name] = self.gateway.now()
                 self._tasks_by_source[name] = asyncio.create_task(self.poll(name))
 
     def update_store_status(self, sources: list[str]) -> None:
         """Tell the feeds whether to leave the store to the sources."""
         now = self.gateway.now()
+        answering_sources = [name for name in sources if self.is_answering(name)]
+        is_following_peers = (
+            any(
+                now - self.fresh_at_by_source.get(name, float("-inf")) < MAX_STALENESS_S
+                for name in answering_sources
+            )
+            or (bool(answering_sources) and self.is_outage_left_to_sources())
+            or (self.store_status.is_following_peers and any(map(self.is_pending, sources)))
+        )
+        self.store_status.sources = sources if is_following_peers else []
+        if is_following_peers == self.store_status.is_following_peers:
+            return
         ages_by_source = {
             name: round(now - self.fresh_at_by_source[name], 1)
             for name in sources
             if name in self.fresh_at_by_source
         }
-        is_following_peers = any(
-            age < MAX_STALENESS_S for age in ages_by_source.values()
-        ) or self.is_waiting_for_sources(sources)
-        self.store_status.sources = sources if is_following_peers else []
-        if is_following_peers == self.store_status.is_following_peers:
-            return
         self.gateway.log.info(
             "store_followed" if is_following_peers else "store_watched",
             sources=",".join(sources),
+            answering=",".join(answering_sources),
             ages_s=",".join(f"{name}:{age}" for name, age in ages_by_source.items()),
         )
         self.store_status.set_following_peers(is_following_peers)
 
-    def is_waiting_for_sources(self, sources: list[str]) -> bool:
-        """Return whether a source answers, so that one of them will soon be fresh."""
+    def is_answering(self, name: str) -> bool:
+        """Return whether a source answers its polls."""
+        answered_at = self.answered_at_by_source.get(name, float("-inf"))
+        return self.gateway.now() - answered_at < MAX_ANSWER_INTERVAL_S
+
+    def is_pending(self, name: str) -> bool:
+        """Return whether a source was selected just now and has had no time to answer."""
+        return (
+            name not in self.answered_at_by_source
+            and self.gateway.now() - self.selected_at_by_source[name] < PEER_TIMEOUT_S
+        )
+
+    def is_outage_left_to_sources(self) -> bool:
+        """Return whether the store fails, so that sources without it are better than more calls."""
         now = self.gateway.now()
-        has_answer = any(
-            now - self.answered_at_by_source[name] < UNREACHABLE_AFTER_S for name in sources
+        return (
+            now - self.store_status.failed_at < MAX_UNCONFIRMED_S
+            and now - self.store_status.confirmed_at < MAX_UNCONFIRMED_S
         )
-        return has_answer and now - self.store_status.confirmed_at < MAX_UNCONFIRMED_S
 
     def record_lost(self, name: str) -> None:
         """Handle a source that has lost the store: skip it if it has done so for too long."""
@@ -239,14 +266,16 @@
         self.gateway.log.warning("source_lost_store", source=name, lost_s=round(lost_s, 1))
 
     async def poll(self, name: str) -> None:
-        """Poll one source until cancelled."""
+        """Poll one source until cancelled; the first poll does not wait for changes."""
+        wait_s: float | None = 0.0
         while True:
             try:
-                is_usable = await self.poll_once(name)
+                is_usable = await self.poll_once(name, wait_s)
             except Exception:
                 self.gateway.log.exception("poll_failed", source=name)
                 self.record_poll_failure(name)
                 is_usable = False
+            wait_s = None
             if not is_usable:
                 await asyncio.sleep(POLL_RETRY_S)
 
@@ -296,7 +325,7 @@
     def record_poll_failure(self, name: str) -> None:
         """Handle a failed poll: skip the source if it has not answered for too long."""
         now = self.gateway.now()
-        silent_s = now - self.answered_at_by_source[name]
+        silent_s = now - self.answered_at_by_source.get(name, self.selected_at_by_source[name])
         if silent_s < UNREACHABLE_AFTER_S:
             return
         self.unreachable_until_by_source[name] = now + UNREACHABLE_PROBE_INTERVAL_S
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -7,7 +7,7 @@
 from flamingostack.gateway.feeds import TARGET_WATCH_PAUSE_S
 from flamingostack.gateway.follower import MAX_STALENESS_S, Follower
 from flamingostack.gateway.model import TargetLoad
-from flamingostack.gateway.readers import choose_sources
+from flamingostack.gateway.readers import choose_sources, rank_instance
 from flamingostack.gateway.relay import PeerClient
 
 from .fakes import (
@@ -22,6 +22,8 @@
 )
 
 ROUTE = make_route("one", service="one")
+# `configApplyMs` and `drainTimeoutMs` of the users' pages.
+CHANGE_BOUND_S = 5.0
 NAMES = [f"front-a-{number}" for number in range(7)]
 
 
@@ -160,6 +162,49 @@
         async with asyncio.timeout(MAX_STALENESS_S + 2):
             await wait_until(lambda: set(self.versions().values()) == {20})
 
+    async def silence(self, names: list[str]) -> None:
+        """Take the power of instances: connections to them stay open, and nobody answers."""
+        silent = FakeObjectStore()
+        await silent.start()
+        self.addAsyncCleanup(silent.stop)
+        silent.is_silent = True
+        for name in names:
+            running = self.running_by_name.pop(name)
+            for task in running.tasks:
+                task.cancel()
+        for running in self.running_by_name.values():
+            addresses = running.peers.addresses_by_instance
+            addresses.update(dict.fromkeys(names, f"{HOST}:{silent.port}"))
+            # The address is not read again from the store.
+            running.feeds_by_kind["flamingostack-instances"].apply_changes = lambda *_: None
+
+    async def test_instances_that_lose_their_next_sources_too_learn_a_change_in_time(self):
+        names = [f"front-a-{number}" for number in range(10)]
+        ranked = sorted(names, key=rank_instance)
+        for lost in (2, 4, 6):
+            with self.subTest(lost=lost):
+                await self.start_domain(names)
+                for number in range(3):
+                    entry = FakeTarget().entry("one", address=f"{HOST}:1")
+                    self.store.put("servers", f"leaving-{number}", entry)
+                await wait_until(
+                    lambda: all(
+                        len(running.gateway.directory.targets_by_id) == 4
+                        for running in self.running_by_name.values()
+                    )
+                )
+                await self.silence(ranked[:lost])
+                self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+                for number in range(3):
+                    self.store.delete("servers", f"leaving-{number}")
+                await asyncio.sleep(CHANGE_BOUND_S)
+                self.assertEqual(self.versions(), dict.fromkeys(ranked[lost:], 20))
+                known = {
+                    name: list(running.gateway.directory.targets_by_id)
+                    for name, running in self.running_by_name.items()
+                }
+                self.assertEqual(known, dict.fromkeys(ranked[lost:], [self.target.id]))
+
     async def test_reader_that_is_gone_for_good_is_not_waited_for_again(self):
         await self.start_domain()
         await self.running_by_name.pop(self.readers[0]).stop()
