Keep all watches short while any feed has lost the store

Cause: a feed that paused between two watches when the others noticed the outage did not count as lost. It sent a watch with the full wait into the last moments of the outage. No probe followed, since other feeds had lost the store, and when these recovered nothing was known to be lost.

Change: which feeds have lost the store is kept in StoreStatus, and the short wait holds for all feeds while there are any.

Measured: the new test failed before (no removal within 5 s, 1 of 1) and passes now.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -33,9 +33,9 @@
 # and the whole kind has to be listed again.
 MAX_WATCH_WAIT_S = 29.0
 WATCH_WAIT_HISTORY_SHARE = 0.75
-# Longest wait of a feed's first watch after the loss of the store. A longer watch sent while the
-# store was silent would hang for its full wait after the store's return, and until the first watch
-# returns the feed counts as lost, also for the instances that follow this one.
+# Longest wait of a watch while any feed has lost the store. A longer watch sent while the store was
+# silent would hang for its full wait after the store's return, and until the first watch returns the
+# feed counts as lost, also for the instances that follow this one.
 LOST_STORE_WATCH_WAIT_S = 0.3
 # While the store is lost, only the configuration feed probes it. Each other feed waits for that
 # feed to get an answer, polls a peer after every interval, and calls the store itself after
@@ -75,6 +75,7 @@
         "confirmed_at",
         "polled_at",
         "sources",
+        "lost_kinds",
         "_loss_event",
         "_answer_event",
         "_update_event",
@@ -93,6 +94,8 @@
         self.polled_at = float("-inf")
         # The instances that are followed in place of the store.
         self.sources: list[str] = []
+        # The kinds whose feeds have lost the store.
+        self.lost_kinds: set[str] = set()
         self._loss_event = asyncio.Event()
         self._answer_event = asyncio.Event()
         self._update_event = asyncio.Event()
@@ -197,7 +200,6 @@
         "must_list",
         "deletions_by_name",
         "history_start",
-        "has_lost_store",
         "allow_stale_list",
         "listed",
     )
@@ -232,7 +234,6 @@
         # `history_start` is the revision since which the deletions are complete.
         self.deletions_by_name: dict[str, int] = {}
         self.history_start = 0
-        self.has_lost_store = False
         # The first list may be seconds old, which is cheaper: the watch that follows returns at
         # once what has changed since. A later stale list would revert newer state.
         self.allow_stale_list = True
@@ -311,7 +312,7 @@
 
     def watch_wait_s(self) -> float:
         """Return for how long the next watch may wait for a change."""
-        if self.has_lost_store:
+        if self.store_status.lost_kinds:
             return LOST_STORE_WATCH_WAIT_S
         wait_s = min(self.wait_s, self.gateway.settings.store_history_s * WATCH_WAIT_HISTORY_SHARE)
         if self.is_probing_feed and self.store_status.has_followers:
@@ -328,6 +329,11 @@
                 return
             await self.fetch_from_peer()
 
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether the last call to the store has failed."""
+        return self.kind in self.store_status.lost_kinds
+
     @property
     def is_probing_feed(self) -> bool:
         """Whether this feed detects for all feeds that the store is unavailable or back."""
@@ -417,7 +423,7 @@
     def record_failure(self, failure: StoreFailure) -> None:
         """Record a failed call to the store; log the loss and notify the other feeds once."""
         if not self.has_lost_store:
-            self.has_lost_store = True
+            self.store_status.lost_kinds.add(self.kind)
             self.store_status.notify_loss()
             self.gateway.log.warning(
                 "store_lost",
@@ -434,7 +440,7 @@
     def record_recovery(self) -> None:
         """Record and log that the store, or a peer in its place, delivers updates again."""
         if self.has_lost_store:
-            self.has_lost_store = False
+            self.store_status.lost_kinds.remove(self.kind)
             self.gateway.log.info("store_regained", kind=self.kind, revision=self.revision)
 
 
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -18,6 +18,8 @@
 )
 
 ROUTE = make_route("one", service="one")
+# `drainTimeoutMs` of the users' pages.
+DRAIN_TIMEOUT_S = 5.0
 
 
 class FeedsTest(GatewayCase, unittest.IsolatedAsyncioTestCase):
@@ -252,6 +254,31 @@
         async with asyncio.timeout(7):
             await wait_until(lambda: gone not in known)
 
+    async def test_target_that_leaves_after_a_watch_was_sent_in_the_last_moments_of_an_outage(self):
+        # DRAIN: this feed paused while the others noticed the outage, and sent its watch into the
+        # last moments of it. The watch was never answered, and the store seemed to be back.
+        running = await self.start()
+        await self.settle()
+        known = running.gateway.directory.targets_by_id
+        self.store.put("servers", "other", FakeTarget().entry("one"))
+        await wait_until(lambda: "other" in known)
+        self.store.is_silent = True
+        watches = self.count_watches("servers")
+        running.store_status.notify_loss()
+        await wait_until(lambda: self.count_watches("servers") > watches)
+        await asyncio.sleep(0.01)
+        self.store.is_silent = False
+        await wait_until(
+            lambda: not any(feed.has_lost_store for feed in running.feeds_by_kind.values())
+        )
+        await self.leave_in_time(running, self.targets[0].id)
+
+    async def leave_in_time(self, running: RunningGateway, target_id: str) -> None:
+        """Remove a target's entry; fail unless it is out of use within `DRAIN_TIMEOUT_S`."""
+        self.store.delete("servers", target_id)
+        async with asyncio.timeout(DRAIN_TIMEOUT_S):
+            await wait_until(lambda: target_id not in running.gateway.directory.targets_by_id)
+
     def count_watches(self, kind: str) -> int:
         return sum(f"/{kind}?watch=" in call for call in self.store.calls)
 
