Distrust sources that learn nothing more before a change is due

Cause: a source counted as fresh for 5.5 s after the store's last confirmation.

Change: 4.5 s, for which readers renew the watch of the configuration each 2.5 s in place of 3 s. A reader that loses the store tells its followers at once, so that they know of an outage before their sources are stale, and still leave it to a few instances.

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -25,7 +25,7 @@
 # answering within this time plus the call's own timeout.
 CONFIGURATION_WATCH_WAIT_S = 8.0
 # The same limit while other instances follow this one: they detect a silent store no earlier.
-READER_WATCH_WAIT_S = 3.0
+READER_WATCH_WAIT_S = 2.5
 # An instance that was polled within this time has followers; a follower polls every second.
 FOLLOWER_TIMEOUT_S = 5.0
 # The other watches wait as long as the store allows, because each call is billed, but not beyond a
@@ -429,6 +429,8 @@
         if not self.has_lost_store:
             self.store_status.lost_kinds.add(self.kind)
             self.store_status.notify_loss()
+            # Followers that know of an outage leave the store to a few instances.
+            self.store_status.notify_update()
             self.gateway.log.warning(
                 "store_lost",
                 kind=self.kind,
--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -28,9 +28,9 @@
 POLL_WAIT_S = 1.0
 # While targets have queues, which change within half a second, polls return earlier.
 QUEUED_POLL_WAIT_S = 0.4
-# A source is fresh if the store has confirmed its state within the time of a reader's watch, the
-# timeout of a call, and a poll. A reader that has lost the store reports so earlier.
-MAX_STALENESS_S = READER_WATCH_WAIT_S + 1.5 + POLL_WAIT_S
+# A source is fresh if the store has confirmed its state within the time of a reader's watch,
+# its pause and its answer, and of a poll. Changes have to be in force after 5 s.
+MAX_STALENESS_S = READER_WATCH_WAIT_S + 0.5 + POLL_WAIT_S + PEER_TIMEOUT_S
 # How often the sources are selected again.
 SELECTION_INTERVAL_S = 0.25
 POLL_RETRY_S = 0.3
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -205,6 +205,34 @@
                 }
                 self.assertEqual(known, dict.fromkeys(ranked[lost:], [self.target.id]))
 
+    async def test_sources_that_answer_without_news_of_the_store_are_not_trusted_for_long(self):
+        await self.start_domain()
+        # The readers do not notice that they no longer learn anything.
+        for name in self.readers:
+            running = self.running_by_name[name]
+            for task in running.tasks:
+                if task is not running.follower_task:
+                    task.cancel()
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        async with asyncio.timeout(CHANGE_BOUND_S):
+            await wait_until(lambda: all(self.versions()[name] == 20 for name in self.followers))
+
+    async def test_change_after_both_readers_have_lost_a_silent_store_arrives_in_time(self):
+        await self.start_domain()
+        silent = FakeObjectStore()
+        await silent.start()
+        self.addAsyncCleanup(silent.stop)
+        silent.is_silent = True
+        for name in self.readers:
+            self.running_by_name[name].objects.url = f"{silent.url}/-/objects"
+        # The watches in flight return with this version; the next ones go to the silent store.
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        await wait_until(lambda: set(self.versions().values()) == {20})
+        await asyncio.sleep(0.5)
+        self.store.put("config", "main", make_configuration(21, [ROUTE], ["one"]))
+        async with asyncio.timeout(CHANGE_BOUND_S):
+            await wait_until(lambda: all(self.versions()[name] == 21 for name in self.followers))
+
     async def test_reader_that_is_gone_for_good_is_not_waited_for_again(self):
         await self.start_domain()
         await self.running_by_name.pop(self.readers[0]).stop()
@@ -232,6 +260,19 @@
         # second, and with four watches after the outage.
         self.assertLessEqual(len(self.store.calls), 10 * (4 + 4 + 4))
 
+    async def test_silent_outage_of_the_store_is_left_to_a_few_instances(self):
+        names = [f"front-a-{number}" for number in range(20)]
+        await self.start_domain(names)
+        await asyncio.sleep(2.0)
+        self.store.calls.clear()
+        self.store.is_silent = True
+        await asyncio.sleep(8.0)
+        watching = [name for name in names if not self.is_following_peers(name)]
+        self.store.is_silent = False
+        # Two readers, and two pairs that take their place in turn.
+        self.assertLessEqual(len(watching), 3 * len(self.readers))
+        self.assertLessEqual(len(self.store.calls), 3 * len(self.readers) * (4 + 4 + 4))
+
     async def test_store_that_turns_away_the_readers_is_found_by_the_next_instances(self):
         await self.start_domain()
         down = FakeObjectStore()
