Ask the store too after a pause, not the followed instances alone

Requests that waited for a process to catch up after it stood still went on with old state if the instances it follows had stood still as well, as when a failure domain is suspended.

Cause: an answer of a followed instance counted as the present state, however old that instance's own state was.

--- a/flamingostack/gateway/follower.py
+++ b/flamingostack/gateway/follower.py
@@ -130,11 +130,15 @@
             self.apply_domain_requests(self.gateway.domain_requests())
 
     async def catch_up(self) -> None:
-        """Bring the state up to date at once, after the process stood still."""
-        if self.store_status.is_following_peers and self._tasks_by_source:
-            await asyncio.gather(*(self.poll_once(name, 0.0) for name in self._tasks_by_source))
-        else:
-            await asyncio.gather(*(feed.catch_up() for feed in self.feeds_by_kind.values()))
+        """Bring the state up to date at once, after the process stood still.
+
+        The sources may have stood still as well, so the store is asked too.
+        """
+        sources = self._tasks_by_source if self.store_status.is_following_peers else ()
+        await asyncio.gather(
+            *(self.poll_once(name, 0.0) for name in sources),
+            *(feed.catch_up() for feed in self.feeds_by_kind.values()),
+        )
 
     def select_sources(self) -> list[str]:
         """Return the instances to follow; empty if this instance watches the store."""
--- a/flamingostack/gateway/pauses.py
+++ b/flamingostack/gateway/pauses.py
@@ -2,9 +2,9 @@
 
 It handles the fault of a process that is frozen, or whose machine is suspended, for seconds. What
 it knows may have run out meanwhile: a target has left, a failure domain was evacuated, a route was
-dropped. The requests that have arrived wait until the store, or an instance that is followed, has
-told the changes, which takes a few milliseconds. While neither answers, the last known state stays
-in force, as in any outage, and the wait is short.
+dropped. The requests that have arrived wait until the store, and the instances that are followed,
+have told the changes, which takes a few milliseconds. While they do not answer, the last known
+state stays in force, as in any outage, and the wait is short.
 """
 
 from __future__ import annotations
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -207,15 +207,27 @@
 
     async def test_sources_that_answer_without_news_of_the_store_are_not_trusted_for_long(self):
         await self.start_domain()
-        # The readers do not notice that they no longer learn anything.
+        self.deafen_readers()
+        self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
+        async with asyncio.timeout(CHANGE_BOUND_S):
+            await wait_until(lambda: all(self.versions()[name] == 20 for name in self.followers))
+
+    def deafen_readers(self) -> None:
+        """Let the readers learn nothing more, without noticing it."""
         for name in self.readers:
             running = self.running_by_name[name]
             for task in running.tasks:
                 if task is not running.follower_task:
                     task.cancel()
+
+    async def test_follower_that_stood_still_together_with_its_sources_is_up_to_date_at_once(self):
+        await self.start_domain()
+        self.deafen_readers()
         self.store.put("config", "main", make_configuration(20, [ROUTE], ["one"]))
-        async with asyncio.timeout(CHANGE_BOUND_S):
-            await wait_until(lambda: all(self.versions()[name] == 20 for name in self.followers))
+        name = self.followers[0]
+        self.assertTrue(self.is_following_peers(name))
+        await self.running_by_name[name].follower.catch_up()
+        self.assertEqual(self.versions()[name], 20)
 
     async def test_change_after_both_readers_have_lost_a_silent_store_arrives_in_time(self):
         await self.start_domain()
