Relay what a deleted object was before

Followers used a target for 2 s after its removal, although it had reported before that it leaves, when they learnt of both in one answer soon after a failure of the store. The instances that watch the store let it go at once.

Cause: of a change and a deletion in one answer followers get the deletion alone, and take it for an entry that lapsed in an outage. The class is that of the relayed deletions: events folded into one lose what they said.

Change: deletions carry the object's last value, from the store or from what was known; an entry that said its target leaves is not held. Announced removals no longer count towards those that suggest an outage.

Measured: the new test failed before (1 of 1) and passes, with the tests of feeds, relay, platform, directory and malformed entries (50).

--- a/flamingostack/gateway/feeds.py
+++ b/flamingostack/gateway/feeds.py
@@ -234,9 +234,9 @@
         self.records_by_name: dict[str, StoredRecord] = {}
         # True before the first list, after the store has discarded its history, and after an error.
         self.must_list = True
-        # Revisions at which deletions were received, for the followers of this instance.
-        # `history_start` is the revision since which the deletions are complete.
-        self.deletions_by_name: dict[str, int] = {}
+        # Deletions, with the revisions at which they were received, for the followers of this
+        # instance. `history_start` is the revision since which they are complete.
+        self.deletions_by_name: dict[str, StoredRecord] = {}
         self.history_start = 0
         # The first list may be seconds old, which is cheaper: the watch that follows returns at
         # once what has changed since. A later stale list would revert newer state.
@@ -384,29 +384,33 @@
 
     def remember(self, result: StoredRecords) -> None:
         """Keep objects and deletions for the followers of this instance."""
-        # One answer may hold several events of an object, of which the last one counts.
-        last_by_name = {record.name: record for record in result.records}
-        present = {name: item for name, item in last_by_name.items() if item.value is not None}
+        known_by_name = self.records_by_name
         if result.is_whole:
-            deleted = self.records_by_name.keys() - present.keys()
-            self.records_by_name = present
-        else:
-            deleted = last_by_name.keys() - present.keys()
-            self.records_by_name.update(present)
-        for name in deleted:
-            self.records_by_name.pop(name, None)
-            # Reinsert at the end, so that the oldest deletions come first.
-            self.deletions_by_name.pop(name, None)
-            self.deletions_by_name[name] = result.revision
-        for name in present:
-            self.deletions_by_name.pop(name, None)
+            self.records_by_name = {}
+            for name in known_by_name.keys() - {record.name for record in result.records}:
+                self.remember_deletion(name, result.revision, known_by_name[name].value)
+        # One answer may hold several events of an object, of which the last one counts.
+        for record in result.records:
+            if record.value is not None:
+                self.records_by_name[record.name] = record
+                self.deletions_by_name.pop(record.name, None)
+                continue
+            known = self.records_by_name.pop(record.name, record)
+            last_value = known.value if record.last_value is None else record.last_value
+            self.remember_deletion(record.name, result.revision, last_value)
         while len(self.deletions_by_name) > MAX_REMEMBERED_DELETIONS:
             oldest = next(iter(self.deletions_by_name))
-            self.history_start = self.deletions_by_name.pop(oldest)
+            self.history_start = self.deletions_by_name.pop(oldest).revision
         if self.revision is None:
             self.history_start = result.revision
         self.revision = result.revision
 
+    def remember_deletion(self, name: str, revision: int, last_value: object) -> None:
+        """Keep a deletion that was received with a revision."""
+        # Reinsert at the end, so that the oldest deletions come first.
+        self.deletions_by_name.pop(name, None)
+        self.deletions_by_name[name] = StoredRecord(name, revision, None, last_value)
+
     def changes_since(self, since: int) -> StoredRecords | None:
         """Return what has changed since a revision; None if nothing has.
 
@@ -417,11 +421,7 @@
         if since < self.history_start:
             return StoredRecords(list(self.records_by_name.values()), self.revision, is_whole=True)
         records = [item for item in self.records_by_name.values() if item.revision > since]
-        records += [
-            StoredRecord(name, revision, None)
-            for name, revision in self.deletions_by_name.items()
-            if revision > since
-        ]
+        records += [item for item in self.deletions_by_name.values() if item.revision > since]
         return StoredRecords(records, self.revision, is_whole=False)
 
     def record_failure(self, failure: StoreFailure) -> None:
--- a/flamingostack/gateway/model.py
+++ b/flamingostack/gateway/model.py
@@ -232,14 +232,18 @@
 
 
 class StoredRecord:
-    """An object of the platform's store; `value` is None for a deleted one."""
+    """An object of the platform's store.
 
-    __slots__ = ("name", "revision", "value")
+    For a deleted one `value` is None, and `last_value` is what it was before, if known.
+    """
+
+    __slots__ = ("name", "revision", "value", "last_value")
 
-    def __init__(self, name: str, revision: int, value: object) -> None:
+    def __init__(self, name: str, revision: int, value: object, last_value: object = None) -> None:
         self.name = name
         self.revision = revision
         self.value = value
+        self.last_value = last_value
 
 
 class StoredRecords:
--- a/flamingostack/gateway/picture.py
+++ b/flamingostack/gateway/picture.py
@@ -82,13 +82,16 @@
         """Add, update and remove the changed targets."""
         directory = self.gateway.directory
         now = self.gateway.now()
-        removed = [record.name for record in records if record.value is None]
-        may_return = had_recent_outage or self.is_likely_outage(removed)
+        unannounced = [
+            record.name for record in records if record.value is None and not was_draining(record)
+        ]
+        may_return = had_recent_outage or self.is_likely_outage(unannounced)
         for record in records:
             if record.value is None:
-                directory.remove(record.name, now, may_return)
+                is_held = may_return and not was_draining(record)
+                directory.remove(record.name, now, is_held)
                 self.gateway.log.info(
-                    "target_removed", target=record.name, revision=record.revision, held=may_return
+                    "target_removed", target=record.name, revision=record.revision, held=is_held
                 )
                 continue
             entry = decode.decode_target(record)
@@ -129,6 +132,15 @@
         self.refresh()
 
 
+def was_draining(record: StoredRecord) -> bool:
+    """Return whether a deleted entry said before that its target leaves.
+
+    An instance that was behind may get to know both at once.
+    """
+    entry = decode.decode_target(StoredRecord(record.name, record.revision, record.last_value))
+    return not isinstance(entry, Failure) and entry.is_draining
+
+
 class EvacuationUpdater:
     """Applies evacuations of failure domains to the directory."""
 
--- a/flamingostack/gateway/relay.py
+++ b/flamingostack/gateway/relay.py
@@ -59,11 +59,12 @@
 
 
 class RelayRecord(msgspec.Struct):
-    """An object of the store in a relay response; `value` is None for a deleted one."""
+    """An object of the store in a relay response, see `StoredRecord`."""
 
     name: str
     revision: int
     value: object
+    last_value: object = None
 
 
 class RelayChanges(msgspec.Struct):
@@ -219,7 +220,10 @@
 
 def decode_changes(changes: RelayChanges) -> StoredRecords:
     """Convert relayed changes to the type that the store client returns."""
-    records = [StoredRecord(item.name, item.revision, item.value) for item in changes.records]
+    records = [
+        StoredRecord(item.name, item.revision, item.value, item.last_value)
+        for item in changes.records
+    ]
     return StoredRecords(records, changes.revision, changes.is_whole)
 
 
@@ -314,7 +318,8 @@
         if new_records is None:
             continue
         records = [
-            RelayRecord(item.name, item.revision, item.value) for item in new_records.records
+            RelayRecord(item.name, item.revision, item.value, item.last_value)
+            for item in new_records.records
         ]
         changes_by_kind[kind] = RelayChanges(new_records.revision, records, new_records.is_whole)
     return changes_by_kind
--- a/flamingostack/platform/objects.py
+++ b/flamingostack/platform/objects.py
@@ -99,7 +99,7 @@
             for event in response["events"]:
                 record = decode_object(event["object"])
                 if event.get("deleted"):
-                    record.value = None
+                    record.value, record.last_value = None, record.value
                 records.append(record)
             return StoredRecords(records, response["atRevision"], is_whole=False)
         except (KeyError, TypeError, AttributeError) as error:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -108,6 +108,24 @@
         }
         self.assertEqual(known, dict.fromkeys(NAMES, []))
 
+    async def test_target_that_drains_and_is_removed_in_one_answer_is_not_held_by_followers(self):
+        await self.start_domain()
+        for running in self.running_by_name.values():
+            running.store_status.failed_at = running.gateway.now()
+        # The readers fetch both in the call after their pause.
+        self.store.put("servers", self.target.id, self.target.entry("one", coldRemainingMs=900))
+        await asyncio.sleep(0.1)
+        self.store.put("servers", self.target.id, self.target.entry("one", state="draining"))
+        self.store.delete("servers", self.target.id)
+        reader = self.running_by_name[self.readers[0]].gateway.directory
+        await wait_until(lambda: not reader.targets_by_id)
+        await asyncio.sleep(0.5)
+        known = [
+            list(self.running_by_name[name].gateway.directory.targets_by_id)
+            for name in self.followers
+        ]
+        self.assertEqual(known, [[]] * len(self.followers))
+
     async def test_reader_that_is_cut_off_from_the_store_keeps_nobody_behind(self):
         await self.start_domain()
         silent = FakeObjectStore()
