Refuse entries of targets that lack a field

Cause: decode_target checked only the fields that it uses, and took a missing coldRemainingMs for 0.

--- a/flamingostack/platform/decode.py
+++ b/flamingostack/platform/decode.py
@@ -101,20 +101,25 @@
     try:
         body: dict[str, Any] = record.value  # type: ignore[assignment]
         host, port = parse_address(body["address"])
-        for key in ("service", "zone", "state"):
+        for key in ("service", "zone", "version", "state"):
             if not isinstance(body[key], str):
                 raise TypeError(f"{key} is not a string")
         if body["state"] not in ("ready", "draining"):
             raise ValueError(f"unknown state {body['state']!r}")
-        cold_ms = body.get("coldRemainingMs", 0)
-        slots = body["slots"]
-        if isinstance(slots, bool) or not isinstance(slots, int) or not 1 <= slots <= MAX_SLOTS:
-            raise ValueError(f"slots is {slots!r}")
-        if (
-            isinstance(cold_ms, bool)
-            or not isinstance(cold_ms, int | float)
-            or not 0 <= cold_ms <= MAX_COLD_MS
+        slots, cold_ms = body["slots"], body["coldRemainingMs"]
+        # The wall-clock time of the target's start in milliseconds; not all targets tell it.
+        started_ms = body.get("born", 0)
+        for key, value in (
+            ("slots", slots),
+            ("coldRemainingMs", cold_ms),
+            ("sequence", body["sequence"]),
+            ("born", started_ms),
         ):
+            if isinstance(value, bool) or not isinstance(value, int | float):
+                raise TypeError(f"{key} is not a number")
+        if not isinstance(slots, int) or not 1 <= slots <= MAX_SLOTS:
+            raise ValueError(f"slots is {slots!r}")
+        if not 0 <= cold_ms <= MAX_COLD_MS:
             raise ValueError(f"coldRemainingMs is {cold_ms!r}")
         return TargetEntry(
             id=record.name,
@@ -125,8 +130,7 @@
             slots=slots,
             is_draining=body["state"] == "draining",
             cold_s=cold_ms / MS_PER_S,
-            # `born` is the wall-clock time of the target's start in milliseconds.
-            started_ms=int(body.get("born") or 0),
+            started_ms=int(started_ms),
         )
     except DECODE_ERRORS as error:
         return make_failure(DecodeReason.MALFORMED, f"target {record.name}: {error!r}")
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -20,6 +20,7 @@
     "service": "s",
     "address": "10.0.0.1:80",
     "zone": "a",
+    "version": "v1",
     "slots": 6,
     "state": "ready",
     "coldRemainingMs": 1500,
@@ -54,12 +55,25 @@
             ("slots", True),
             ("coldRemainingMs", "no"),
             ("coldRemainingMs", -1),
+            ("coldRemainingMs", None),
+            ("version", 1),
+            ("sequence", "4"),
+            ("sequence", True),
+            ("born", "1700000000000"),
+            ("born", None),
         ):
             result = decode_target(StoredRecord("i-1", 5, ENTRY | {field: value}))
             self.assertIsInstance(result, Failure, field)
-        for field in ("service", "address", "zone", "state", "slots"):
+
+    def test_entry_without_a_field_names_no_target(self):
+        for field in ENTRY.keys() - {"born"}:
             without = {key: value for key, value in ENTRY.items() if key != field}
-            self.assertIsInstance(decode_target(StoredRecord("i-1", 5, without)), Failure)
+            self.assertIsInstance(decode_target(StoredRecord("i-1", 5, without)), Failure, field)
+
+    def test_entry_of_a_target_that_does_not_tell_its_start_is_decoded(self):
+        without = {key: value for key, value in ENTRY.items() if key != "born"}
+        entry = decode_target(StoredRecord("i-1", 5, without))
+        self.assertEqual(entry.started_ms, 0)
 
     @given(JSON)
     def test_any_value_is_decoded_or_refused(self, value):
