Soak instances that follow others: power losses, and changes with a removal

Change: the profile "followers" takes the first instances, in the order of readers, of the largest failure domain, while a version is written and a target leaves; and lets targets write several entries before they drain.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -103,9 +103,10 @@
     jobs: Annotated[int, cyclopts.Parameter(help="seeds to run at the same time")] = 2,
     slot: Annotated[int, cyclopts.Parameter(help="address range of this run, 0 to 99")] = 0,
     profile: Annotated[
-        Literal["usual", "hostile", "hostile-store", "notices"],
+        Literal["usual", "hostile", "hostile-store", "notices", "followers"],
         cyclopts.Parameter(
-            help="faults: the usual, hostile bytes of peers, or targets that ask for less"
+            help="faults: the usual, hostile bytes of peers, targets that ask for less, or those "
+            "of instances that others follow"
         ),
     ] = DEFAULT_PROFILE,
 ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from flamingostack.gateway.readers import rank_instance
 from standins.hostile import HOST as HOSTILE_HOST
 from standins.hostile import HostileTarget
 from standins.proxy import DIRECTIONS, Listener, inject_fault
@@ -234,12 +235,16 @@
     return new
 
 
-async def drain(environment: Environment, rng: random.Random, seconds: float) -> str:
+async def drain(
+    environment: Environment, rng: random.Random, seconds: float, old: SoakTarget | None = None
+) -> str:
     """Drain a target, stop it after 5 s, and reuse its address for a target of a random service.
 
-    The target drains by changing the state in its entry or by deleting the entry.
+    The target drains by changing the state in its entry or by deleting the entry. By default it is
+    drawn at random.
     """
-    old = rng.choice([t for t in environment.targets if not t.is_draining])
+    if old is None or old.is_draining:
+        old = rng.choice([t for t in environment.targets if not t.is_draining])
     old.is_draining = True
     if rng.random() < 0.5:
         environment.register(old)
@@ -259,6 +264,40 @@
     return f"target {old.id} of {old.service} drained, its address reused"
 
 
+async def change_and_leave(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Let a target write its entry several times in quick succession, and then drain it."""
+    target = rng.choice([t for t in environment.targets if not t.is_draining])
+    for _ in range(rng.randint(2, 6)):
+        target.sequence += 1
+        environment.register(target)
+        await asyncio.sleep(rng.uniform(0.01, 0.4))
+    return await drain(environment, rng, seconds, target)
+
+
+async def lose_power(environment: Environment, rng: random.Random, seconds: float) -> str:
+    """Take the power of the first instances, in the order of readers, of the largest domain.
+
+    A version is written and a target leaves at the same moment.
+    """
+    domains = [instance.domain for instance in environment.instances]
+    largest = max(sorted(set(domains)), key=domains.count)
+    inside = [instance for instance in environment.instances if instance.domain == largest]
+    inside.sort(key=lambda instance: rank_instance(instance.name))
+    lost = inside[: rng.randint(1, max(len(inside) - 1, 1))]
+    recording = asyncio.create_task(
+        record_fault(environment, list_fault_names(lost), 5.0 + RESTART_DELAY_S + STARTUP_S)
+    )
+    for instance in lost:
+        instance.send_signal(signal.SIGSTOP)
+    leaving = asyncio.create_task(drain(environment, rng, seconds))
+    environment.put_configuration()
+    await asyncio.sleep(5.0)
+    for instance in lost:
+        instance.kill()
+    await asyncio.gather(recording, leaving)
+    return f"no power for {[instance.name for instance in lost]}"
+
+
 async def leave_by_answers(environment: Environment, rng: random.Random, seconds: float) -> str:
     """Let a target say only in its answers that it leaves, and stop it some seconds later.
 
@@ -435,6 +474,13 @@
         terminate,
         kill,
     ),
+    "followers": (
+        change_and_leave,
+        change_and_leave,
+        lose_power,
+        configurations,
+        evacuate,
+    ),
 }
 
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -60,6 +60,8 @@
         self.limit: float | None = None
         self.closed_s = 0.0
         self.closed_probability = 0.0
+        # Number of the present entry.
+        self.sequence = 1
         self.cold_until = 0.0
         self.cold_limit = 0.0
         self.running = 0
@@ -91,7 +93,7 @@
             "slots": SLOTS,
             "state": "draining" if self.is_draining else "ready",
             "coldRemainingMs": max(int((self.cold_until - now) * 1000), 0),
-            "sequence": 1,
+            "sequence": self.sequence,
             "born": 1,
         }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -84,6 +84,11 @@
         for seed in NOTICE_SEEDS:
             await self.run_seed(seed, SHORT_RUN_S, "--profile", "notices")
 
+    async def test_seed_316180_of_followers(self):
+        # Instances whose next sources had no power either lacked a version for 4.5 s, and followers
+        # sent to targets whose last change and removal had come in one answer.
+        await self.run_seed(316180, LONG_RUN_S, "--profile", "followers")
+
     async def test_hostile_seed_9(self):
         # Bodies in short chunks from several targets let processes grow by 45 MiB.
         await self.run_seed(9, LONG_RUN_S, "--profile", "hostile")
