Use the connect timeout of the gateway's tests in those of connections

As in GatewayCase, a test process that is not scheduled for so long counts the connection as timed out. The tests of connections use the same longer timeout now; no test in them checks it.

--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -5,9 +5,11 @@
 import time
 import tracemalloc
 import unittest
+from unittest import mock
 
 from multidict import CIMultiDict
 
+from flamingostack.gateway import sender
 from flamingostack.gateway.model import TargetEntry
 from flamingostack.gateway.sender import (
     NOT_RUN_OUTCOMES,
@@ -30,6 +32,8 @@
     make_misbehaviour,
 )
 
+from .fakes import CONNECT_TIMEOUT_S
+
 BODY = bytes(range(256)) * 4
 TIME_LIMIT_S = 1.0
 # Where memory is traced, which slows the exchanges down.
@@ -82,6 +86,10 @@
     """Base of tests that send requests to a hostile target."""
 
     async def asyncSetUp(self):
+        # The process is not scheduled for longer than that at times, see `GatewayCase`.
+        patched = mock.patch.object(sender, "CONNECT_TIMEOUT_S", CONNECT_TIMEOUT_S)
+        patched.start()
+        self.addCleanup(patched.stop)
         self.sender = Sender()
         self.addAsyncCleanup(self.sender.close)
 
