--- a/review/harness2/store.py
+++ b/review/harness2/store.py
@@ -59,10 +59,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def silence_watches(self, kind: str) -> int:
-        """Let the open connections fall silent on which a watch of a kind waits.
+    def lose_next_answers(self, kind: str) -> int:
+        """Lose the next answers to the watches of a kind that wait; return how many wait.
 
-        They stay open and return nothing further; return how many there are.
+        Their connections stay open and return nothing further.
         """
         connections = [connection for connection, other in self.waiting if other == kind]
         for connection in connections:
