Review case 6: entries of another writer end all processes again and again

Cause: the decoded value of each object is kept, also if it is malformed, and a list is bounded by the bytes of its JSON only. Change: a script in which another writer leaves 14 entries of 1 MB.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Another writer leaves one large entry after the other among those of the searchers."""
+"""Another writer leaves some large entries among those of the searchers."""
 
 from __future__ import annotations
 
@@ -25,11 +25,12 @@
 RESTART_DELAY_S = 0.5
 # `platform.valueBytes` of the settings, for the whole object, and `heartbeatIntervalMs`.
 VALUE_BYTES = 1048576
-WRITE_INTERVAL_S = 1.2
+REPORTS = 14
+WRITE_INTERVAL_S = 0.3
 # The rule: processes end by themselves three times, on two machines at least.
 ENDS = 3
 MACHINES = 2
-PLAY_S = 85.0
+PLAY_S = 50.0
 REQUESTS_PER_S = 5.0
 
 
@@ -41,18 +42,18 @@
 
 
 async def write_reports(case: Case, store: Store) -> None:
-    """Remove the last report at each interval, and write one under a new name."""
+    """Write reports under different names, which stay."""
     report = make_report()
-    for number in itertools.count(1):
-        if number > 1:
-            store.delete("servers", f"report-{number - 1}")
-        store.put("servers", f"report-{number}", report)
-        entry = store.objects_by_kind["servers"][f"report-{number}"]
+    for number in range(REPORTS):
+        name = f"report-{number}"
+        store.put("servers", name, report)
+        entry = store.objects_by_kind["servers"][name]
         size = len(json.dumps(entry, separators=(",", ":")))
         if size > VALUE_BYTES:
             raise CannotRunError(f"the report has {size} bytes")
-        case.record.add("written", name=f"report-{number}", bytes=size)
+        case.record.add("written", name=name, bytes=size)
         await asyncio.sleep(WRITE_INTERVAL_S)
+    await asyncio.Event().wait()
 
 
 async def keep_within_memory(case: Case, gateway: Gateway) -> None:
@@ -116,14 +117,14 @@
     if not record.find("answered", status=200):
         raise CannotRunError("no request is served")
     ends = {gateway.name: record.find("ended", gateway=gateway.name) for gateway in gateways}
-    cut = record.find("answered", status=0)
-    record.add("counted", unanswered=len(cut), **{n: len(items) for n, items in ends.items()})
+    served, sent = len(record.find("answered", status=200)), len(record.find("sent"))
+    record.add("counted", served=served, sent=sent, **{n: len(items) for n, items in ends.items()})
     if sum(len(items) >= ENDS for items in ends.values()) < MACHINES:
         return []
     counts = ", ".join(f"{name} {len(items)} times" for name, items in ends.items())
     return [
-        f"Fault: processes exceeded {MEMORY_BYTES >> 20} MB and ended: {counts}; at most one"
-        f" report lay in the store; {len(cut)} requests had no answer"
+        f"Fault: processes exceeded {MEMORY_BYTES >> 20} MB and ended: {counts};"
+        f" {served} of {sent} requests were served"
     ]
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,10 @@
-"""A process starts again, and its kept connections refuse heads within the limit."""
+"""Another writer leaves one large entry after the other among those of the searchers."""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
+import json
 import sys
 from pathlib import Path
 
@@ -10,78 +12,119 @@
 
 from review.harness2.case import CannotRunError, Case, run_case
 from review.harness2.config import make_config, make_route
-from review.harness2.fleet import find_free_hosts
+from review.harness2.fleet import Gateway, find_free_hosts
 from review.harness2.http1 import Client
 from review.harness2.searcher import Searcher
 from review.harness2.store import Store
 
+ZONES = ("east-a", "east-b")
 SERVICE = "desk"
-MAX_HEADER_BYTES = 32768
-# A head of 20 KiB is well within the limit of the configuration.
-COOKIE_BYTES = 20 * 1024
-CALLERS = 20
-STABILITY_WINDOW_S = 4.0
+# `limits.memoryMb` of the settings.
+MEMORY_BYTES = 300 * 1024 * 1024
+MEMORY_CHECK_S = 0.02
+RESTART_DELAY_S = 0.5
+# `platform.valueBytes` of the settings, for the whole object, and `heartbeatIntervalMs`.
+VALUE_BYTES = 1048576
+WRITE_INTERVAL_S = 1.2
+# The rule: processes end by themselves three times, on two machines at least.
+ENDS = 3
+MACHINES = 2
+PLAY_S = 85.0
+REQUESTS_PER_S = 5.0
 
 
-async def send(case: Case, client: Client, request_id: str, cookie: str = "") -> int:
-    """Send a request and return the status of its answer."""
-    headers = {"Host": "app.example", "X-Request-Id": request_id, "X-Deadline-Milliseconds": "2000"}
-    if cookie:
-        headers["Cookie"] = cookie
-    case.record.add("sent", id=request_id, cookie_bytes=len(cookie))
-    answer = await client.send("GET", "/desk/files/", headers)
-    case.record.add("answered", id=request_id, status=answer.status, error=answer.error)
-    return answer.status
+def make_report() -> dict:
+    """Return what the other writer writes: none of the fields of a searcher's entry."""
+    sample = {"v": 7}
+    size = len(json.dumps(sample, separators=(",", ":"))) + 1
+    return {"samples": [sample] * ((VALUE_BYTES - 500) // size)}
+
+
+async def write_reports(case: Case, store: Store) -> None:
+    """Remove the last report at each interval, and write one under a new name."""
+    report = make_report()
+    for number in itertools.count(1):
+        if number > 1:
+            store.delete("servers", f"report-{number - 1}")
+        store.put("servers", f"report-{number}", report)
+        entry = store.objects_by_kind["servers"][f"report-{number}"]
+        size = len(json.dumps(entry, separators=(",", ":")))
+        if size > VALUE_BYTES:
+            raise CannotRunError(f"the report has {size} bytes")
+        case.record.add("written", name=f"report-{number}", bytes=size)
+        await asyncio.sleep(WRITE_INTERVAL_S)
+
+
+async def keep_within_memory(case: Case, gateway: Gateway) -> None:
+    """Kill the process when it exceeds the memory of its machine, and start it again."""
+    while True:
+        memory = gateway.read_memory()
+        if memory > MEMORY_BYTES or gateway.process.returncode is not None:
+            await gateway.kill()
+            case.record.add("ended", gateway=gateway.name, memory_mb=memory >> 20)
+            await asyncio.sleep(RESTART_DELAY_S)
+            await gateway.start()
+        await asyncio.sleep(MEMORY_CHECK_S)
+
+
+async def send_requests(case: Case, gateway: Gateway) -> None:
+    """Send requests on one kept connection until cancelled."""
+    client = Client(gateway.host, gateway.front_port)
+    for number in itertools.count(1):
+        request_id = f"{gateway.name}-{number}"
+        headers = {
+            "Host": "app.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Milliseconds": "2000",
+        }
+        case.record.add("sent", id=request_id)
+        answer = await client.send("GET", "/desk/files/", headers, timeout_s=2.0)
+        case.record.add("answered", id=request_id, status=answer.status, error=answer.error)
+        await asyncio.sleep(1 / REQUESTS_PER_S)
 
 
 async def play(case: Case) -> list[str]:
     """Play the case; return what broke the rule."""
     record = case.record
-    (host,) = find_free_hosts(1)
+    hosts = find_free_hosts(len(ZONES))
     store = Store()
-    await store.server.start(host)
-    searcher = Searcher(record, "i-1", SERVICE, "east-a")
-    await searcher.server.start(host)
-    store.put("servers", searcher.name, searcher.make_entry())
-    routes = [make_route("r", "/desk/", SERVICE)]
-    config = make_config(3, routes, [SERVICE], maxHeaderBytes=MAX_HEADER_BYTES)
-    store.put("config", "main", config)
-    gateway = case.make_gateway("front-east-a-1", "east-a", host, store.server.address)
-    await gateway.start()
-    if not await gateway.wait_ready():
-        raise CannotRunError("the process is not ready")
-    await asyncio.sleep(1.0)
-    clients = [Client(host, gateway.front_port) for _ in range(CALLERS)]
-    if case.has_trouble:
-        await gateway.kill()
-        record.add("killed", gateway=gateway.name)
-        await asyncio.sleep(0.3)
+    await store.server.start(hosts[0])
+    for zone in ZONES:
+        searcher = Searcher(record, f"i-{zone}", SERVICE, zone)
+        await searcher.server.start(hosts[0])
+        store.put("servers", searcher.name, searcher.make_entry())
+    store.put("config", "main", make_config(3, [make_route("r", "/desk/", SERVICE)], [SERVICE]))
+    gateways = [
+        case.make_gateway(f"front-{zone}-1", zone, host, store.server.address)
+        for zone, host in zip(ZONES, hosts, strict=True)
+    ]
+    for gateway in gateways:
         await gateway.start()
-    # They connect as soon as the process accepts connections.
-    for client in clients:
-        for _ in range(200):
-            try:
-                await client.open()
-                break
-            except OSError:
-                await asyncio.sleep(0.02)
-    await asyncio.gather(*(send(case, c, f"first-{n}") for n, c in enumerate(clients)))
-    if not await gateway.wait_ready():
-        raise CannotRunError("the process is not ready")
-    await asyncio.sleep(STABILITY_WINDOW_S + 0.5)
-    if 200 not in await asyncio.gather(*(send(case, c, f"n-{n}") for n, c in enumerate(clients))):
+    for gateway in gateways:
+        if not await gateway.wait_ready():
+            raise CannotRunError("a process is not ready")
+    plays = [keep_within_memory(case, gateway) for gateway in gateways]
+    plays += [send_requests(case, gateway) for gateway in gateways]
+    if case.has_trouble:
+        plays.append(write_reports(case, store))
+    tasks = [asyncio.create_task(item) for item in plays]
+    done, _ = await asyncio.wait(tasks, timeout=PLAY_S, return_when=asyncio.FIRST_EXCEPTION)
+    for task in tasks:
+        task.cancel()
+    for task in done:
+        task.result()
+    if not record.find("answered", status=200):
         raise CannotRunError("no request is served")
-    cookie = "c=" + "x" * COOKIE_BYTES
-    statuses = await asyncio.gather(
-        *(send(case, c, f"large-{n}", cookie) for n, c in enumerate(clients))
-    )
-    new = await send(case, Client(host, gateway.front_port), "large-new", cookie)
-    record.add("new_connection", status=new)
-    denied = [s for s in statuses if 400 <= s < 500 and s not in (408, 421, 429)]
-    sent = len(record.find("sent"))
-    if len(denied) <= 5 + sent / 500:
+    ends = {gateway.name: record.find("ended", gateway=gateway.name) for gateway in gateways}
+    cut = record.find("answered", status=0)
+    record.add("counted", unanswered=len(cut), **{n: len(items) for n, items in ends.items()})
+    if sum(len(items) >= ENDS for items in ends.values()) < MACHINES:
         return []
-    return [f"DENIED: {len(denied)} of {sent} proper requests got {sorted(set(denied))}"]
+    counts = ", ".join(f"{name} {len(items)} times" for name, items in ends.items())
+    return [
+        f"Fault: processes exceeded {MEMORY_BYTES >> 20} MB and ended: {counts}; at most one"
+        f" report lay in the store; {len(cut)} requests had no answer"
+    ]
 
 
 if __name__ == "__main__":
